--- /dev/null
+++ b/decision/src/main/java/org/anvillatch/decision/admission/AdmissionQueue.java
@@ -0,0 +1,116 @@
+package org.anvillatch.decision.admission;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+
+/**
+ * Bounded queue of work that waits for a slot, highest rank first and oldest first within a rank.
+ *
+ * <p>Invariant: the queue never holds more than its capacity, and what is evicted ranks no higher than anything that
+ * stays. Not thread safe: owned by the host's decision loop.
+ */
+public final class AdmissionQueue {
+    /**
+     * Work with its time of arrival.
+     *
+     * @param work the request
+     * @param arrivedMicros when it was offered
+     * @param sequence order of arrival on this host
+     */
+    public record Waiting(Work work, long arrivedMicros, long sequence) {}
+
+    private static final Comparator<Waiting> SERVICE_ORDER = Comparator.comparingInt(
+                    (Waiting waiting) -> -waiting.work().rank())
+            .thenComparingLong(Waiting::sequence);
+
+    private final TreeSet<Waiting> waiting = new TreeSet<>(SERVICE_ORDER);
+    private final Map<Long, Waiting> byExecution = new HashMap<>();
+    private long nextSequence;
+
+    /**
+     * Adds work and evicts the lowest rank if the queue is then too long.
+     *
+     * @param work the request
+     * @param capacity how many may wait
+     * @param nowMicros current time
+     * @return the evicted work, which may be the one just added
+     */
+    public Optional<Work> add(Work work, int capacity, long nowMicros) {
+        Waiting entry = new Waiting(work, nowMicros, nextSequence++);
+        waiting.add(entry);
+        byExecution.put(work.execution(), entry);
+        if (waiting.size() <= capacity) {
+            return Optional.empty();
+        }
+        Waiting evicted = waiting.pollLast();
+        byExecution.remove(evicted.work().execution());
+        return Optional.of(evicted.work());
+    }
+
+    /**
+     * Takes the work to run next.
+     *
+     * @return the highest rank, or empty if nothing waits
+     */
+    public Optional<Waiting> poll() {
+        Waiting first = waiting.pollFirst();
+        if (first != null) {
+            byExecution.remove(first.work().execution());
+        }
+        return Optional.ofNullable(first);
+    }
+
+    /**
+     * Removes one request.
+     *
+     * @param execution identity of the dispatch
+     * @return true if it was waiting
+     */
+    public boolean remove(long execution) {
+        Waiting entry = byExecution.remove(execution);
+        return entry != null && waiting.remove(entry);
+    }
+
+    /**
+     * Removes all work whose deadline has come.
+     *
+     * @param latestMicros work with an earlier deadline is removed
+     * @return the removed work
+     */
+    public List<Work> removeOverdue(long latestMicros) {
+        List<Work> overdue = new ArrayList<>();
+        for (Waiting entry : waiting) {
+            if (entry.work().deadlineMicros() < latestMicros) {
+                overdue.add(entry.work());
+            }
+        }
+        overdue.forEach(work -> remove(work.execution()));
+        return overdue;
+    }
+
+    /**
+     * Removes everything.
+     *
+     * @return the removed work
+     */
+    public List<Work> clear() {
+        List<Work> all = waiting.stream().map(Waiting::work).toList();
+        waiting.clear();
+        byExecution.clear();
+        return all;
+    }
+
+    /**
+     * Returns how many requests wait.
+     *
+     * @return at least 0
+     */
+    public int size() {
+        return waiting.size();
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/anvillatch/decision/admission/ExecutionEnding.java
@@ -0,0 +1,32 @@
+package org.anvillatch.decision.admission;
+
+/**
+ * How an execution at an endpoint ended. Immutable and thread safe.
+ */
+public enum ExecutionEnding {
+    /** The endpoint gave a complete answer. */
+    ANSWERED(false),
+    /** The endpoint rejected the work without running it. */
+    REJECTED(true),
+    /** The deadline passed before the answer. */
+    TIMED_OUT(true),
+    /** The caller gave up. */
+    CANCELLED(false),
+    /** The connection broke: the endpoint may have crashed. */
+    BROKEN(false);
+
+    private final boolean lowersLimit;
+
+    ExecutionEnding(boolean lowersLimit) {
+        this.lowersLimit = lowersLimit;
+    }
+
+    /**
+     * Tells whether the endpoint was given too much.
+     *
+     * @return true if the concurrency limit must fall
+     */
+    public boolean lowersLimit() {
+        return lowersLimit;
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
@@ -0,0 +1,267 @@
+package org.anvillatch.decision.admission;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.anvillatch.decision.drain.EndpointPhase;
+import org.anvillatch.decision.model.OperationName;
+import org.anvillatch.decision.model.RefusalReason;
+
+/**
+ * Decides on the endpoint's own host which work starts, waits or is refused. It alone owns the endpoint's slots, queue
+ * and drain state, so its word needs no agreement with other hosts.
+ *
+ * <p>Invariants: a {@link AdmissionAction.Start} is returned at most once for an execution and never after a
+ * {@link AdmissionAction.Refuse} of it; no more executions run than the limit allows; nothing starts unless the phase
+ * takes new work. Not thread safe: owned by the host's decision loop.
+ */
+public final class Gatekeeper {
+    /** Waiting time of started work above which the endpoint counts as overloaded, in microseconds. */
+    public static final long SOJOURN_TARGET_MICROS = 10_000;
+
+    /** Length of the queue as a share of the limit. */
+    public static final double QUEUE_SHARE = 0.5;
+
+    private static final int LEAST_QUEUE = 4;
+    private static final double LATENCY_WEIGHT = 0.1;
+
+    private final AdmissionFeatures features;
+    private final AdmissionQueue queue = new AdmissionQueue();
+    private final ShedLevel shedLevel = new ShedLevel();
+    private final Set<Long> running = new HashSet<>();
+    private final Map<OperationName, LearnedLevel> downstream = new HashMap<>();
+    private final Map<OperationName, Double> latencyMicros = new HashMap<>();
+    private LearnedLevel peerFloor = LearnedLevel.NONE;
+    private ConcurrencyLimit limit = new ConcurrencyLimit(1);
+    private EndpointPhase phase = EndpointPhase.ABSENT;
+
+    /**
+     * Creates a gatekeeper without an endpoint.
+     *
+     * @param features which mechanisms are in use
+     */
+    public Gatekeeper(AdmissionFeatures features) {
+        this.features = features;
+    }
+
+    /**
+     * Takes an endpoint's announcement.
+     *
+     * @param slots executions that the endpoint says it can run at a time
+     */
+    public void announced(int slots) {
+        limit = new ConcurrencyLimit(slots);
+        phase = EndpointPhase.SERVING;
+    }
+
+    /**
+     * Changes the phase; work that waits is refused if the new phase takes no new work.
+     *
+     * @param next the new phase
+     * @param nowMicros current time
+     * @return refusals of the work that waited
+     */
+    public List<AdmissionAction> enter(EndpointPhase next, long nowMicros) {
+        phase = next;
+        if (next.takesNewWork()) {
+            return startWaiting(nowMicros);
+        }
+        List<AdmissionAction> actions = new ArrayList<>();
+        for (Work work : queue.clear()) {
+            actions.add(refuse(work, phaseReason(), nowMicros));
+        }
+        return actions;
+    }
+
+    /**
+     * Decides on newly arrived work.
+     *
+     * @param work the request
+     * @param nowMicros current time
+     * @return a start or a refusal of this work, a refusal of evicted work, or nothing while the work waits
+     */
+    public List<AdmissionAction> offer(Work work, long nowMicros) {
+        if (!phase.takesNewWork()) {
+            return List.of(refuse(work, phaseReason(), nowMicros));
+        }
+        shedLevel.advance(nowMicros);
+        shedLevel.arrived(work.rank());
+        peerFloor = peerFloor.raisedBy(work.levelFloor(), nowMicros);
+        if (isDoomed(work, nowMicros)) {
+            return List.of(refuse(work, RefusalReason.DEADLINE, nowMicros));
+        }
+        if (features.shedLevels() && work.rank() < levelFor(work.operation(), nowMicros)) {
+            return List.of(refuse(work, RefusalReason.OVERLOAD, nowMicros));
+        }
+        if (running.size() < limit.limit() && queue.size() == 0) {
+            running.add(work.execution());
+            return List.of(new AdmissionAction.Start(work.execution()));
+        }
+        return enqueue(work, nowMicros);
+    }
+
+    private List<AdmissionAction> enqueue(Work work, long nowMicros) {
+        Optional<Work> evicted = queue.add(work, queueCapacity(), nowMicros);
+        List<AdmissionAction> actions = new ArrayList<>();
+        evicted.ifPresent(lowest -> {
+            shedLevel.overload();
+            actions.add(refuse(lowest, RefusalReason.OVERLOAD, nowMicros));
+        });
+        actions.addAll(startWaiting(nowMicros));
+        return actions;
+    }
+
+    /**
+     * Frees the slot of an execution.
+     *
+     * @param execution identity of the dispatch
+     * @param ending how it ended
+     * @param durationMicros how long it ran
+     * @param operation the operation that ran
+     * @param nowMicros current time
+     * @return starts and refusals of work that waited
+     */
+    public List<AdmissionAction> finished(
+            long execution, ExecutionEnding ending, long durationMicros, OperationName operation, long nowMicros) {
+        if (!running.remove(execution)) {
+            return List.of();
+        }
+        shedLevel.advance(nowMicros);
+        if (ending == ExecutionEnding.ANSWERED) {
+            limit.succeeded();
+            shedLevel.completed();
+            latencyMicros.merge(
+                    operation, (double) durationMicros, (old, latest) -> old + (latest - old) * LATENCY_WEIGHT);
+        } else if (ending.lowersLimit()) {
+            limit.rejected(nowMicros);
+        }
+        return startWaiting(nowMicros);
+    }
+
+    /**
+     * Removes waiting work that nobody wants any more.
+     *
+     * @param execution identity of the dispatch
+     * @param nowMicros current time
+     * @return the refusal, or nothing if the work runs or is unknown
+     */
+    public List<AdmissionAction> cancel(long execution, long nowMicros) {
+        if (!queue.remove(execution)) {
+            return List.of();
+        }
+        return List.of(new AdmissionAction.Refuse(execution, RefusalReason.CANCELLED, shedLevel.level()));
+    }
+
+    /**
+     * Drops overdue work and closes the window of the shed level.
+     *
+     * @param nowMicros current time
+     * @return refusals of overdue work and starts of work that fits
+     */
+    public List<AdmissionAction> tick(long nowMicros) {
+        shedLevel.advance(nowMicros);
+        List<AdmissionAction> actions = new ArrayList<>();
+        for (Work work : queue.removeOverdue(nowMicros)) {
+            shedLevel.overload();
+            actions.add(refuse(work, RefusalReason.DEADLINE, nowMicros));
+        }
+        actions.addAll(startWaiting(nowMicros));
+        return actions;
+    }
+
+    /**
+     * Learns the level that nested calls of an operation have met.
+     *
+     * @param operation operation that made the nested call
+     * @param level level in the nested call's answer
+     * @param nowMicros current time
+     */
+    public void downstreamLevel(OperationName operation, int level, long nowMicros) {
+        LearnedLevel known = downstream.getOrDefault(operation, LearnedLevel.NONE);
+        downstream.put(operation, known.raisedBy(level, nowMicros));
+    }
+
+    /**
+     * Returns the lowest rank admitted for an operation: the highest of this endpoint's own level, that of the calls it
+     * makes in turn, and that seen at other endpoints of the service.
+     *
+     * @param operation the operation
+     * @param nowMicros current time
+     * @return lowest admitted rank
+     */
+    public int levelFor(OperationName operation, long nowMicros) {
+        if (!features.shedLevels()) {
+            return 0;
+        }
+        int below = downstream.getOrDefault(operation, LearnedLevel.NONE).at(nowMicros);
+        int own = Math.max(shedLevel.level(), below);
+        return Math.max(own, peerFloor.at(nowMicros));
+    }
+
+    private List<AdmissionAction> startWaiting(long nowMicros) {
+        List<AdmissionAction> actions = new ArrayList<>();
+        while (phase.takesNewWork() && running.size() < limit.limit()) {
+            Optional<AdmissionQueue.Waiting> next = queue.poll();
+            if (next.isEmpty()) {
+                return actions;
+            }
+            actions.add(startOrDrop(next.get(), nowMicros));
+        }
+        return actions;
+    }
+
+    private AdmissionAction startOrDrop(AdmissionQueue.Waiting next, long nowMicros) {
+        if (nowMicros - next.arrivedMicros() > SOJOURN_TARGET_MICROS) {
+            shedLevel.overload();
+        }
+        if (isDoomed(next.work(), nowMicros)) {
+            shedLevel.overload();
+            return refuse(next.work(), RefusalReason.DEADLINE, nowMicros);
+        }
+        running.add(next.work().execution());
+        return new AdmissionAction.Start(next.work().execution());
+    }
+
+    private boolean isDoomed(Work work, long nowMicros) {
+        double expected = features.dropDoomed() ? latencyMicros.getOrDefault(work.operation(), 0.0) : 0;
+        return work.deadlineMicros() - nowMicros <= expected / 2;
+    }
+
+    private AdmissionAction refuse(Work work, RefusalReason reason, long nowMicros) {
+        return new AdmissionAction.Refuse(work.execution(), reason, levelFor(work.operation(), nowMicros));
+    }
+
+    private RefusalReason phaseReason() {
+        return phase == EndpointPhase.ABSENT || phase == EndpointPhase.SILENT
+                ? RefusalReason.NO_ENDPOINT
+                : RefusalReason.DRAINING;
+    }
+
+    private int queueCapacity() {
+        return Math.max(LEAST_QUEUE, (int) (limit.limit() * QUEUE_SHARE));
+    }
+
+    /**
+     * Returns the phase of the endpoint.
+     *
+     * @return the phase in force
+     */
+    public EndpointPhase phase() {
+        return phase;
+    }
+
+    /**
+     * Returns what this host reports to senders and operators.
+     *
+     * @return counts at this moment
+     */
+    public GatekeeperStatus status() {
+        return new GatekeeperStatus(
+                phase, limit.slots(), limit.limit(), running.size(), queue.size(), shedLevel.level());
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/anvillatch/decision/admission/LearnedLevel.java
@@ -0,0 +1,56 @@
+package org.anvillatch.decision.admission;
+
+/**
+ * A shed level heard from another place. It counts in full while it is fresh, then halves at every half-life, so that
+ * a level which is no longer confirmed cannot refuse work for long. Immutable and thread safe.
+ *
+ * @param level the level that was heard
+ * @param heardMicros when it was heard
+ */
+public record LearnedLevel(int level, long heardMicros) {
+    /** Age up to which a level counts in full, in microseconds. */
+    public static final long FRESH_MICROS = 200_000;
+
+    /** Time in which an older level halves, in microseconds. */
+    public static final long HALF_LIFE_MICROS = 50_000;
+
+    /** No level was heard. */
+    public static final LearnedLevel NONE = new LearnedLevel(0, 0);
+
+    /**
+     * Returns what is left of the level.
+     *
+     * @param nowMicros current time
+     * @return the level that still counts
+     */
+    public int at(long nowMicros) {
+        long over = nowMicros - heardMicros - FRESH_MICROS;
+        if (over <= 0) {
+            return level;
+        }
+        long halvings = over / HALF_LIFE_MICROS + 1;
+        return halvings >= Integer.SIZE ? 0 : level >> halvings;
+    }
+
+    /**
+     * Combines with a newly heard level; the newest word of the same source wins.
+     *
+     * @param heard the level just heard
+     * @param nowMicros current time
+     * @return the level to remember
+     */
+    public LearnedLevel replacedBy(int heard, long nowMicros) {
+        return new LearnedLevel(heard, nowMicros);
+    }
+
+    /**
+     * Combines with a level of another source; the higher one wins.
+     *
+     * @param heard the level just heard
+     * @param nowMicros current time
+     * @return the level to remember
+     */
+    public LearnedLevel raisedBy(int heard, long nowMicros) {
+        return heard >= at(nowMicros) ? new LearnedLevel(heard, nowMicros) : this;
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/anvillatch/decision/admission/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Admission at one endpoint: slots, bounded queue, adaptive limit and shed level.
+ */
+package org.anvillatch.decision.admission;
--- /dev/null
+++ b/decision/src/main/java/org/anvillatch/decision/configuration/ConfigurationRecord.java
@@ -0,0 +1,21 @@
+package org.anvillatch.decision.configuration;
+
+import java.util.List;
+
+/**
+ * A record of the configuration stream. Immutable and thread safe.
+ *
+ * @param change identity of the change, the same if its append is repeated
+ * @param basedOn version that the author saw
+ * @param author operator who made it
+ * @param writtenMillis wall clock time of the author's host, for people only
+ * @param changes the statements
+ * @param snapshot the whole configuration, null unless the record repeats it so that retention cannot drop it
+ */
+public record ConfigurationRecord(
+        String change,
+        long basedOn,
+        String author,
+        long writtenMillis,
+        List<ConfigurationChange> changes,
+        ConfigurationSnapshot snapshot) {}
--- /dev/null
+++ b/decision/src/main/java/org/anvillatch/decision/configuration/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Operator intent as versioned records of the platform's log.
+ */
+package org.anvillatch.decision.configuration;
--- /dev/null
+++ b/decision/src/main/java/org/anvillatch/decision/drain/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Life cycle of an endpoint from announcement to departure.
+ */
+package org.anvillatch.decision.drain;
--- /dev/null
+++ b/decision/src/main/java/org/anvillatch/decision/effect/BoundKey.java
@@ -0,0 +1,43 @@
+package org.anvillatch.decision.effect;
+
+import java.util.Optional;
+
+import org.anvillatch.decision.model.HostIdentity;
+
+/**
+ * An idempotency key issued by a host and bound to that life of the host. Only this life ever runs the key, so at most
+ * one execution follows from it whatever is cut off, paused or restarted. Immutable and thread safe.
+ *
+ * @param owner the life of the host that issued the key
+ * @param sequence number of the key within that life
+ */
+public record BoundKey(HostIdentity owner, long sequence) {
+    private static final String PREFIX = "avk1";
+    private static final int PARTS = 4;
+
+    /**
+     * Reads a key from its text form.
+     *
+     * @param text value of the {@code Idempotency-Key} header
+     * @return the key, or empty if the text is not a bound key
+     */
+    public static Optional<BoundKey> parse(String text) {
+        String[] parts = text.split("~", -1);
+        if (parts.length != PARTS || !parts[0].equals(PREFIX) || parts[1].isEmpty()) {
+            return Optional.empty();
+        }
+        try {
+            long incarnation = Long.parseUnsignedLong(parts[2], Character.MAX_RADIX);
+            long sequence = Long.parseUnsignedLong(parts[3], Character.MAX_RADIX);
+            return Optional.of(new BoundKey(new HostIdentity(parts[1], incarnation), sequence));
+        } catch (NumberFormatException notANumber) {
+            return Optional.empty();
+        }
+    }
+
+    @Override
+    public String toString() {
+        return PREFIX + "~" + owner.name() + "~" + Long.toUnsignedString(owner.incarnation(), Character.MAX_RADIX) + "~"
+                + Long.toUnsignedString(sequence, Character.MAX_RADIX);
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/anvillatch/decision/effect/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * At-most-once execution of non-idempotent requests.
+ */
+package org.anvillatch.decision.effect;
--- /dev/null
+++ b/decision/src/main/java/org/anvillatch/decision/membership/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Failure detection and dissemination of members (SWIM).
+ */
+package org.anvillatch.decision.membership;
--- /dev/null
+++ b/decision/src/main/java/org/anvillatch/decision/quarantine/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Detection of requests that crash the endpoints which run them.
+ */
+package org.anvillatch.decision.quarantine;
--- /dev/null
+++ b/decision/src/main/java/org/anvillatch/decision/routing/EndpointLoad.java
@@ -0,0 +1,70 @@
+package org.anvillatch.decision.routing;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.anvillatch.decision.admission.LearnedLevel;
+import org.anvillatch.decision.model.OperationName;
+
+/**
+ * What one sender knows about the load of one endpoint. Its own calls in flight are certain; what answers report is
+ * used only while fresh. Not thread safe: owned by the host's decision loop.
+ *
+ * <p>Invariant: {@code inFlight >= 0}.
+ */
+final class EndpointLoad {
+    private static final long REPORT_FRESH_MICROS = 200_000;
+    private static final int FAILURES_TO_EJECT = 2;
+    private static final long FIRST_EJECTION_MICROS = 500_000;
+    private static final long LONGEST_EJECTION_MICROS = 10_000_000;
+    private static final double LATENCY_WEIGHT = 0.1;
+
+    private final Map<OperationName, LearnedLevel> levels = new HashMap<>();
+    private int inFlight;
+    private int reportedBusy;
+    private long reportedMicros = -REPORT_FRESH_MICROS;
+    private double latencyMicros = 1_000;
+    private int failures;
+    private long ejectedUntilMicros;
+
+    void sent() {
+        inFlight++;
+    }
+
+    void answered(AnswerReport report, long nowMicros) {
+        inFlight = Math.max(0, inFlight - 1);
+        failures = 0;
+        reportedBusy = report.busy();
+        reportedMicros = nowMicros;
+        levels.merge(
+                report.operation(),
+                new LearnedLevel(report.level(), nowMicros),
+                (old, heard) -> old.replacedBy(heard.level(), nowMicros));
+        if (report.durationMicros() > 0) {
+            latencyMicros += (report.durationMicros() - latencyMicros) * LATENCY_WEIGHT;
+        }
+    }
+
+    void failed(long nowMicros) {
+        inFlight = Math.max(0, inFlight - 1);
+        failures++;
+        if (failures >= FAILURES_TO_EJECT) {
+            long pause = FIRST_EJECTION_MICROS << Math.min(failures - FAILURES_TO_EJECT, 5);
+            ejectedUntilMicros = nowMicros + Math.min(pause, LONGEST_EJECTION_MICROS);
+        }
+    }
+
+    boolean isEjected(long nowMicros) {
+        return nowMicros < ejectedUntilMicros;
+    }
+
+    int level(OperationName operation, long nowMicros) {
+        return levels.getOrDefault(operation, LearnedLevel.NONE).at(nowMicros);
+    }
+
+    double cost(int slots, long nowMicros) {
+        int reported = nowMicros - reportedMicros < REPORT_FRESH_MICROS ? reportedBusy : 0;
+        double busy = Math.max(inFlight, reported) + 1;
+        return busy / Math.max(1, slots) * latencyMicros;
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/anvillatch/decision/routing/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Choice of the endpoint for one call.
+ */
+package org.anvillatch.decision.routing;
