--- a/decision/src/main/java/org/anvillatch/decision/admission/AdmissionQueue.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/AdmissionQueue.java
@@ -24,9 +24,8 @@
      */
     public record Waiting(Work work, long arrivedMicros, long sequence) {}
 
-    private static final Comparator<Waiting> SERVICE_ORDER = Comparator.comparingInt(
-                    (Waiting waiting) -> -waiting.work().rank())
-            .thenComparingLong(Waiting::sequence);
+    private static final Comparator<Waiting> SERVICE_ORDER =
+            Comparator.comparingInt((Waiting waiting) -> -waiting.work().rank()).thenComparingLong(Waiting::sequence);
 
     private final TreeSet<Waiting> waiting = new TreeSet<>(SERVICE_ORDER);
     private final Map<Long, Waiting> byExecution = new HashMap<>();
--- a/decision/src/main/java/org/anvillatch/decision/configuration/Configuration.java
+++ b/decision/src/main/java/org/anvillatch/decision/configuration/Configuration.java
@@ -141,8 +141,8 @@
                 findings.add(new Finding("importance order", "names an importance twice"));
             }
             if (retryBound < 0 || retryBound > LARGEST_RETRY_BOUND) {
-                findings.add(new Finding(
-                        "retry bound", "must be 0 to " + LARGEST_RETRY_BOUND + " but is " + retryBound));
+                findings.add(
+                        new Finding("retry bound", "must be 0 to " + LARGEST_RETRY_BOUND + " but is " + retryBound));
             }
             for (Map.Entry<String, OperationPolicy> entry : operations.entrySet()) {
                 checkOperation(entry.getKey(), entry.getValue(), findings);
@@ -162,14 +162,7 @@
 
         Configuration build(long version) {
             return new Configuration(
-                    version,
-                    importances,
-                    operations,
-                    retryBound,
-                    drainedHosts,
-                    drainedDomains,
-                    quarantined,
-                    released);
+                    version, importances, operations, retryBound, drainedHosts, drainedDomains, quarantined, released);
         }
     }
 
@@ -184,11 +177,10 @@
         changes.add(new ConfigurationChange.RetryBound(retryBound));
         operations.forEach((name, policy) -> {
             int slash = name.indexOf('/');
-            changes.add(new ConfigurationChange.Operation(
-                    name.substring(0, slash), name.substring(slash + 1), policy));
+            changes.add(new ConfigurationChange.Operation(name.substring(0, slash), name.substring(slash + 1), policy));
         });
-        drainedHosts.forEach(host ->
-                changes.add(new ConfigurationChange.Drain(ConfigurationChange.DrainScope.HOST, host, true)));
+        drainedHosts.forEach(
+                host -> changes.add(new ConfigurationChange.Drain(ConfigurationChange.DrainScope.HOST, host, true)));
         drainedDomains.forEach(domain ->
                 changes.add(new ConfigurationChange.Drain(ConfigurationChange.DrainScope.DOMAIN, domain, true)));
         quarantined.forEach(print -> changes.add(new ConfigurationChange.Quarantine(print, true)));
--- a/decision/src/main/java/org/anvillatch/decision/configuration/ConfigurationSnapshot.java
+++ b/decision/src/main/java/org/anvillatch/decision/configuration/ConfigurationSnapshot.java
@@ -9,5 +9,4 @@
  * @param coveredOffset offset of the last record that was reduced, -1 if none was
  * @param history latest verdicts, oldest first
  */
-public record ConfigurationSnapshot(
-        Configuration configuration, long coveredOffset, List<ChangeVerdict> history) {}
+public record ConfigurationSnapshot(Configuration configuration, long coveredOffset, List<ChangeVerdict> history) {}
--- a/decision/src/main/java/org/anvillatch/decision/routing/EndpointSelector.java
+++ b/decision/src/main/java/org/anvillatch/decision/routing/EndpointSelector.java
@@ -70,9 +70,7 @@
             best = cheapest(usable, request, nowMicros);
         }
         int level = lowestLevel(usable, request.operation(), nowMicros);
-        return best == null
-                ? new RouteChoice(null, RefusalReason.OVERLOAD, level)
-                : new RouteChoice(best, null, level);
+        return best == null ? new RouteChoice(null, RefusalReason.OVERLOAD, level) : new RouteChoice(best, null, level);
     }
 
     private List<Member> usable(Request request, long nowMicros) {
@@ -82,7 +80,8 @@
             if (!isAllowed(member, request)) {
                 continue;
             }
-            boolean doubted = member.status() != MemberStatus.ALIVE || load(member).isEjected(nowMicros);
+            boolean doubted =
+                    member.status() != MemberStatus.ALIVE || load(member).isEjected(nowMicros);
             (doubted ? doubtful : healthy).add(member);
         }
         return healthy.isEmpty() ? doubtful : healthy;
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -0,0 +1,267 @@
+package org.anvillatch.node;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import org.anvillatch.decision.admission.Gatekeeper;
+import org.anvillatch.decision.configuration.ConfigurationReducer;
+import org.anvillatch.decision.drain.EndpointPhase;
+import org.anvillatch.decision.effect.EffectLedger;
+import org.anvillatch.decision.membership.Member;
+import org.anvillatch.decision.membership.MemberStatus;
+import org.anvillatch.decision.membership.Membership;
+import org.anvillatch.decision.model.HostIdentity;
+import org.anvillatch.decision.quarantine.CrashSuspects;
+import org.anvillatch.decision.routing.EndpointSelector;
+import org.anvillatch.node.call.CallRouter;
+import org.anvillatch.node.call.EffectService;
+import org.anvillatch.node.call.Gatekeeping;
+import org.anvillatch.node.caller.CallHandler;
+import org.anvillatch.node.caller.KeyHandler;
+import org.anvillatch.node.configuration.ConfigurationService;
+import org.anvillatch.node.decisionlog.DecisionLog;
+import org.anvillatch.node.endpoint.EndpointClient;
+import org.anvillatch.node.endpoint.EndpointHandler;
+import org.anvillatch.node.loop.DecisionLoop;
+import org.anvillatch.node.loop.HostState;
+import org.anvillatch.node.membership.MembershipService;
+import org.anvillatch.node.operator.ChangeCommand;
+import org.anvillatch.node.operator.CommandHandler;
+import org.anvillatch.node.operator.HostStatus;
+import org.anvillatch.node.operator.HostSurvey;
+import org.anvillatch.node.operator.QuestionCommand;
+import org.anvillatch.node.peer.PeerClient;
+import org.anvillatch.node.peer.PeerServer;
+import org.anvillatch.node.platform.HttpPlatformLog;
+import org.anvillatch.node.settings.NodeSettings;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One node: all services of the process, started in order and stopped in reverse.
+ *
+ * <p>Invariant: after {@link #leave} no new root request and no new dispatch is accepted. Thread safe.
+ */
+public final class Node implements Service {
+    private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+    private static final int MOST_THREADS = 24;
+    private static final int LEAST_THREADS = 4;
+    private static final long MICROS_PER_SECOND = 1_000_000;
+    private static final long TICK_MICROS = 5_000;
+    private static final long PAUSE_MICROS = 1_000_000;
+    private static final long LEAVE_POLL_MILLIS = 20;
+    private static final long LEAVE_SETTLE_MILLIS = 300;
+
+    private final NodeSettings settings;
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final Deque<Service> started = new ArrayDeque<>();
+    private final List<Service> services;
+    private final DecisionLoop loop = new DecisionLoop();
+    private final HostState state;
+    private final Gatekeeping gatekeeping;
+    private final CallRouter router;
+    private final CallHandler callHandler;
+    private final EndpointHandler endpointHandler;
+    private final MembershipService membershipService;
+    private final ConfigurationService configurationService;
+    private volatile String phase = "starting";
+    private long lastTickMicros;
+
+    /**
+     * Creates a node.
+     *
+     * @param settings checked settings
+     */
+    public Node(NodeSettings settings) {
+        this.settings = settings;
+        QueuedThreadPool threads = new QueuedThreadPool(MOST_THREADS, LEAST_THREADS);
+        threads.setName("io");
+        threads.setDaemon(true);
+        ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("scheduler", true);
+        state = createState(settings);
+        DecisionLog log = new DecisionLog(settings.logFormat(), metrics);
+        PeerClient peers = new PeerClient(loop, threads, scheduler);
+        EndpointClient endpointClient = new EndpointClient(threads, scheduler);
+        HttpPlatformLog platform = new HttpPlatformLog(settings.logAddress(), threads, scheduler);
+        gatekeeping = new Gatekeeping(loop, state, endpointClient, log, metrics);
+        router = new CallRouter(loop, state, peers, gatekeeping, log, metrics);
+        EffectService effects = new EffectService(loop, state, peers, router, log);
+        configurationService =
+                new ConfigurationService(loop, state, peers, platform, settings.snapshotSeconds() * MICROS_PER_SECOND);
+        membershipService = new MembershipService(loop, state, peers, configurationService);
+        HostSurvey survey = new HostSurvey(state, peers);
+        QuestionCommand questions = new QuestionCommand(state, survey, log, this::status);
+        ChangeCommand changes = new ChangeCommand(loop, state, configurationService, survey);
+        callHandler = new CallHandler(loop, state, router, effects, gatekeeping, log, metrics);
+        endpointHandler = new EndpointHandler(loop, state, gatekeeping);
+        CommandHandler.Keys keys = new CommandHandler.Keys(settings.readKey(), settings.changeKey());
+        CommandHandler commands = new CommandHandler(loop, state, changes, questions, keys, metrics);
+        NodePeerHandler peerHandler = new NodePeerHandler(
+                loop,
+                state,
+                new NodePeerHandler.Services(
+                        gatekeeping, effects, membershipService, configurationService, questions, this::status));
+        NodeServer server = new NodeServer(
+                settings,
+                threads,
+                scheduler,
+                new NodeServer.Handlers(callHandler, new KeyHandler(loop, state), endpointHandler, commands),
+                new PeerServer(threads, peerHandler, metrics));
+        services = List.of(loop, log, new ThreadService(threads, scheduler), peers, endpointClient, platform, server);
+        registerMetrics();
+    }
+
+    private static HostState createState(NodeSettings settings) {
+        // A later life of the host needs a larger number; hosts keep nothing, so it comes from the wall clock.
+        HostIdentity identity = new HostIdentity(settings.name(), System.currentTimeMillis());
+        Member self = new Member(
+                identity,
+                0,
+                settings.advertisedPeerAddress().toString(),
+                settings.domain(),
+                "",
+                0,
+                EndpointPhase.ABSENT,
+                MemberStatus.ALIVE);
+        Membership membership = new Membership(self, settings.seeds());
+        long seed = settings.randomSeed() == 0 ? System.nanoTime() : settings.randomSeed();
+        return new HostState(
+                membership,
+                new EndpointSelector(membership),
+                new Gatekeeper(settings.features()),
+                new EffectLedger(identity, EffectLedger.CAPACITY),
+                new CrashSuspects(),
+                new ConfigurationReducer(),
+                new SplittableRandom(seed));
+    }
+
+    private void registerMetrics() {
+        metrics.register("calls.in_flight", (Gauge<Integer>) router::inFlight);
+        metrics.register("gatekeeper.in_flight", (Gauge<Integer>) gatekeeping::inFlight);
+        metrics.register("gatekeeper.level", (Gauge<Integer>)
+                () -> state.gatekeeper().status().level());
+        metrics.register("gatekeeper.limit", (Gauge<Integer>)
+                () -> state.gatekeeper().status().limit());
+        metrics.register("configuration.version", (Gauge<Long>)
+                () -> state.configuration().current().version());
+        metrics.register("membership.hosts", (Gauge<Integer>) this::presentHosts);
+    }
+
+    private int presentHosts() {
+        return (int) state.membership().all().stream()
+                .filter(member -> member.status().isPresent())
+                .count();
+    }
+
+    @Override
+    public void start() throws StartException {
+        for (Service service : services) {
+            // Registered before its start, so that a start that failed half-way is undone as well.
+            started.push(service);
+            service.start();
+        }
+        configurationService.onChange(this::configurationChanged);
+        gatekeeping.onCrash(membershipService::spread);
+        lastTickMicros = loop.nowMicros();
+        loop.repeat(TICK_MICROS, this::tick);
+        loop.repeat(MembershipService.TICK_MICROS, membershipService::tick);
+        loop.repeat(MembershipService.TICK_MICROS, configurationService::tick);
+        loop.repeat(MembershipService.TICK_MICROS, endpointHandler::tick);
+        phase = "serving";
+        LOG.info(
+                "node {} of domain {} serves callers at {}, its endpoint at {}, operators at {}, hosts at {}",
+                state.membership().self().host(),
+                settings.domain(),
+                settings.callerAddress(),
+                settings.endpointAddress(),
+                settings.operatorAddress(),
+                settings.peerAddress());
+    }
+
+    private void tick() {
+        long now = loop.nowMicros();
+        if (now - lastTickMicros > PAUSE_MICROS) {
+            LOG.warn("this process was paused for {} ms", (now - lastTickMicros) / 1_000);
+            configurationService.readNow();
+        }
+        lastTickMicros = now;
+        gatekeeping.tick();
+    }
+
+    private void configurationChanged() {
+        state.suspects().release(state.configuration().current().released());
+        gatekeeping.applyDrain();
+    }
+
+    private HostStatus status() {
+        Member self = state.membership().self();
+        return new HostStatus(
+                self.host().name(),
+                self.host().incarnation(),
+                self.domain(),
+                self.service(),
+                state.gatekeeper().status(),
+                endpointHandler.reportedRunning(),
+                state.configuration().current().version(),
+                state.configuration().nextOffset() - 1,
+                presentHosts(),
+                phase);
+    }
+
+    /**
+     * Leaves: refuses new work, tells other hosts and waits until accepted work has ended.
+     *
+     * @throws InterruptedException if the wait is interrupted
+     */
+    public void leave() throws InterruptedException {
+        phase = "leaving";
+        LOG.info("leaving: new work is refused, {} calls are in flight", router.inFlight());
+        callHandler.leave();
+        loop.execute(() -> {
+            gatekeeping.enter(EndpointPhase.LEAVING);
+            membershipService.leave();
+        });
+        Thread.sleep(Math.min(LEAVE_SETTLE_MILLIS, settings.stopMillis()));
+        long until = System.currentTimeMillis() + settings.stopMillis();
+        while (router.inFlight() + gatekeeping.inFlight() > 0 && System.currentTimeMillis() < until) {
+            Thread.sleep(LEAVE_POLL_MILLIS);
+        }
+        LOG.info("left with {} calls in flight", router.inFlight() + gatekeeping.inFlight());
+    }
+
+    @Override
+    public void stop() {
+        phase = "stopped";
+        while (!started.isEmpty()) {
+            started.pop().stop();
+        }
+    }
+
+    private record ThreadService(QueuedThreadPool threads, ScheduledExecutorScheduler scheduler) implements Service {
+        @Override
+        public void start() throws StartException {
+            try {
+                scheduler.start();
+                threads.start();
+            } catch (Exception failure) {
+                throw new StartException("threads: " + failure.getMessage(), failure);
+            }
+        }
+
+        @Override
+        public void stop() {
+            try {
+                threads.stop();
+                scheduler.stop();
+            } catch (Exception failure) {
+                LOG.warn("threads did not stop cleanly", failure);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/NodeServer.java
@@ -0,0 +1,128 @@
+package org.anvillatch.node;
+
+import java.util.List;
+
+import org.anvillatch.node.peer.PeerServer;
+import org.anvillatch.node.settings.NodeSettings;
+import org.eclipse.jetty.server.ConnectionFactory;
+import org.eclipse.jetty.server.Connector;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Listens on the four ports of a node and hands each request to the handlers of its port. Thread safe.
+ */
+final class NodeServer implements Service {
+    private static final Logger LOG = LoggerFactory.getLogger(NodeServer.class);
+    private static final String CALLERS = "caller-address";
+    private static final String ENDPOINT = "endpoint-address";
+    private static final String OPERATORS = "operator-address";
+    private static final String PEERS = "peer-address";
+    private static final long IDLE_MILLIS = 60_000;
+
+    private final Server server;
+
+    /** Handlers of the HTTP ports. */
+    record Handlers(Handler calls, Handler keys, Handler endpoint, Handler commands) {}
+
+    NodeServer(
+            NodeSettings settings, QueuedThreadPool threads, Scheduler scheduler, Handlers handlers, PeerServer peers) {
+        server = new Server(threads, scheduler, null);
+        addConnector(CALLERS, settings.callerAddress(), http());
+        addConnector(ENDPOINT, settings.endpointAddress(), http());
+        addConnector(OPERATORS, settings.operatorAddress(), http());
+        addConnector(PEERS, settings.peerAddress(), peers);
+        server.setHandler(new ByPort(handlers));
+    }
+
+    private static ConnectionFactory http() {
+        HttpConfiguration configuration = new HttpConfiguration();
+        configuration.setSendServerVersion(false);
+        configuration.setSendDateHeader(false);
+        return new HttpConnectionFactory(configuration);
+    }
+
+    private void addConnector(String name, NodeSettings.ListenAddress address, ConnectionFactory factory) {
+        ServerConnector connector = new ServerConnector(server, null, null, null, 1, 1, factory);
+        connector.setName(name);
+        connector.setHost(address.host());
+        connector.setPort(address.port());
+        connector.setIdleTimeout(IDLE_MILLIS);
+        server.addConnector(connector);
+    }
+
+    @Override
+    public void start() throws StartException {
+        for (Connector connector : server.getConnectors()) {
+            open((ServerConnector) connector);
+        }
+        try {
+            server.start();
+        } catch (Exception failure) {
+            throw new StartException("server: " + failure.getMessage(), failure);
+        }
+    }
+
+    private static void open(ServerConnector connector) throws StartException {
+        try {
+            connector.open();
+        } catch (java.io.IOException failure) {
+            String address = connector.getHost() + ":" + connector.getPort();
+            throw new StartException(
+                    "--" + connector.getName() + " " + address + ": cannot listen: " + rootMessage(failure), failure);
+        }
+    }
+
+    private static String rootMessage(Throwable failure) {
+        Throwable root = failure;
+        while (root.getCause() != null) {
+            root = root.getCause();
+        }
+        return root.getMessage();
+    }
+
+    @Override
+    public void stop() {
+        try {
+            server.stop();
+        } catch (Exception failure) {
+            LOG.warn("server did not stop cleanly", failure);
+        }
+    }
+
+    /** Hands a request to the handlers of the port it came in on. */
+    private static final class ByPort extends Handler.Abstract.NonBlocking {
+        private final Handlers handlers;
+
+        private ByPort(Handlers handlers) {
+            this.handlers = handlers;
+        }
+
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) throws Exception {
+            String port = request.getConnectionMetaData().getConnector().getName();
+            List<Handler> candidates =
+                    switch (port) {
+                        case CALLERS -> List.of(handlers.calls(), handlers.keys());
+                        case ENDPOINT -> List.of(handlers.calls(), handlers.endpoint());
+                        default -> List.of(handlers.commands());
+                    };
+            for (Handler handler : candidates) {
+                if (handler.handle(request, response, callback)) {
+                    return true;
+                }
+            }
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/call/CallRouter.java
@@ -0,0 +1,269 @@
+package org.anvillatch.node.call;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import com.codahale.metrics.MetricRegistry;
+import org.anvillatch.decision.membership.Member;
+import org.anvillatch.decision.model.Rank;
+import org.anvillatch.decision.model.RefusalReason;
+import org.anvillatch.decision.retry.RetryBudget;
+import org.anvillatch.decision.retry.RetryRatio;
+import org.anvillatch.decision.routing.AnswerReport;
+import org.anvillatch.decision.routing.EndpointSelector;
+import org.anvillatch.decision.routing.RouteChoice;
+import org.anvillatch.node.decisionlog.Decision;
+import org.anvillatch.node.decisionlog.DecisionLog;
+import org.anvillatch.node.loop.DecisionLoop;
+import org.anvillatch.node.loop.HostState;
+import org.anvillatch.node.peer.PeerClient;
+import org.anvillatch.node.peer.PeerMessage;
+
+/**
+ * Routes calls as their sender: chooses an endpoint, dispatches to its gatekeeper, and retries while the outcome, the
+ * call's budget and the service's ratio permit.
+ *
+ * <p>Invariants: each call is answered exactly once; "not run" is answered only if every dispatch was refused by a
+ * gatekeeper or never sent; a call that is not idempotent is dispatched again only after such a refusal. Owned by the
+ * decision loop: all methods are called on it.
+ */
+public final class CallRouter {
+    private static final long ANSWER_GRACE_MICROS = 20_000;
+
+    private final DecisionLoop loop;
+    private final HostState state;
+    private final PeerClient peers;
+    private final Gatekeeping gatekeeping;
+    private final DecisionLog log;
+    private final MetricRegistry metrics;
+    private final Map<String, RetryRatio> ratios = new HashMap<>();
+    private int inFlight;
+
+    /**
+     * Creates a router.
+     *
+     * @param loop runs callbacks
+     * @param state decision state of the host
+     * @param peers sends to other hosts
+     * @param gatekeeping runs calls for this host's own endpoint
+     * @param log receives every decision
+     * @param metrics registry for counts
+     */
+    public CallRouter(
+            DecisionLoop loop,
+            HostState state,
+            PeerClient peers,
+            Gatekeeping gatekeeping,
+            DecisionLog log,
+            MetricRegistry metrics) {
+        this.loop = loop;
+        this.state = state;
+        this.peers = peers;
+        this.gatekeeping = gatekeeping;
+        this.log = log;
+        this.metrics = metrics;
+    }
+
+    /**
+     * Routes a call.
+     *
+     * @param call the call
+     * @param reply receives the answer, on the loop
+     * @return handle that cancels the call
+     */
+    public Route route(Call call, Consumer<CallAnswer> reply) {
+        Route route = new Route(call, reply);
+        inFlight++;
+        ratio(call).firstTry();
+        route.dispatchToNext();
+        return route;
+    }
+
+    private RetryRatio ratio(Call call) {
+        return ratios.computeIfAbsent(call.operation().service(), service -> new RetryRatio());
+    }
+
+    /**
+     * Returns the calls that are not answered yet.
+     *
+     * @return 0 or more
+     */
+    public int inFlight() {
+        return inFlight;
+    }
+
+    /** One call on its way. Owned by the decision loop. */
+    public final class Route {
+        private final Call call;
+        private final Consumer<CallAnswer> reply;
+        private final RetryBudget budget;
+        private final Set<String> tried = new HashSet<>();
+        private Runnable withdraw = () -> {};
+        private boolean cancelled;
+        private boolean ended;
+
+        private Route(Call call, Consumer<CallAnswer> reply) {
+            this.call = call;
+            this.reply = reply;
+            this.budget = new RetryBudget(call.retries());
+        }
+
+        /** Withdraws the call; it is still answered. */
+        public void cancel() {
+            cancelled = true;
+            withdraw.run();
+        }
+
+        private void dispatchToNext() {
+            long now = loop.nowMicros();
+            RefusalReason refusal = refusalBeforeRouting(now);
+            if (refusal != null) {
+                refuse(refusal, 0);
+                return;
+            }
+            EndpointSelector.Request request = new EndpointSelector.Request(
+                    call.operation(), call.context().rank(), tried, state.drained());
+            RouteChoice choice = state.selector().choose(request, now, state.random());
+            if (!choice.isChosen()) {
+                refuse(choice.refusal(), choice.level());
+                return;
+            }
+            record(choice.host().host().name(), "chosen", "", choice.level());
+            dispatch(choice.host(), now, choice.level());
+        }
+
+        private RefusalReason refusalBeforeRouting(long now) {
+            if (cancelled) {
+                return RefusalReason.CANCELLED;
+            }
+            if (now >= call.deadlineMicros()) {
+                return RefusalReason.DEADLINE;
+            }
+            return state.isQuarantined(call.fingerprint()) ? RefusalReason.QUARANTINED : null;
+        }
+
+        private void refuse(RefusalReason reason, int level) {
+            record("", "refuse", reason.wireName(), level);
+            String detail = "no endpoint of " + call.operation().service() + " accepts the call: " + reason.wireName();
+            CallAnswer.LoadReport report = new CallAnswer.LoadReport(level, 0, 0);
+            end(CallAnswer.refused(reason, detail, report, budget.remaining(), ""));
+        }
+
+        private void dispatch(Member host, long now, int level) {
+            long remaining = call.deadlineMicros() - now;
+            int floor = level / Rank.BUCKETS * Rank.BUCKETS;
+            DispatchMessage message = new DispatchMessage(
+                    call.context(),
+                    call.operation(),
+                    call.policy().idempotent(),
+                    call.body(),
+                    call.fingerprint(),
+                    remaining,
+                    budget.takeShare(),
+                    floor);
+            state.selector().sent(host);
+            if (host.host().equals(state.membership().self().host())) {
+                dispatchHere(host, message);
+            } else {
+                dispatchToPeer(host, message, remaining + ANSWER_GRACE_MICROS);
+            }
+        }
+
+        private void dispatchHere(Member host, DispatchMessage message) {
+            long execution = gatekeeping.dispatch(message, answer -> answered(host, answer));
+            withdraw = () -> gatekeeping.cancel(execution);
+        }
+
+        private void dispatchToPeer(Member host, DispatchMessage message, long timeoutMicros) {
+            PeerClient.Pending pending =
+                    peers.send(host.address(), message, timeoutMicros, new PeerClient.AnswerListener() {
+                        @Override
+                        public void answered(PeerMessage answer) {
+                            if (answer instanceof CallAnswer callAnswer) {
+                                Route.this.answered(host, callAnswer);
+                            } else {
+                                failed(PeerClient.PeerFailure.NO_ANSWER);
+                            }
+                        }
+
+                        @Override
+                        public void failed(PeerClient.PeerFailure failure) {
+                            notAnswered(host, failure);
+                        }
+                    });
+            withdraw = () -> peers.cancel(pending);
+        }
+
+        private void answered(Member host, CallAnswer answer) {
+            long now = loop.nowMicros();
+            CallAnswer.LoadReport load = answer.report();
+            AnswerReport report = new AnswerReport(call.operation(), load.level(), load.busy(), load.durationMicros());
+            state.selector().answered(host, report, now);
+            answer.suspicions().forEach(state.suspects()::add);
+            budget.giveBack(answer.unspentRetries());
+            retryOrEnd(host, answer);
+        }
+
+        private void notAnswered(Member host, PeerClient.PeerFailure failure) {
+            state.selector().failed(host, loop.nowMicros());
+            String name = host.host().name();
+            if (failure == PeerClient.PeerFailure.NOT_SENT) {
+                String detail = "host " + name + " cannot be reached";
+                retryOrEnd(
+                        host,
+                        CallAnswer.refused(RefusalReason.NO_ENDPOINT, detail, CallAnswer.LoadReport.NONE, 0, name));
+            } else {
+                retryOrEnd(host, CallAnswer.unknown("host " + name + " gave no answer", name, java.util.List.of()));
+            }
+        }
+
+        private void retryOrEnd(Member host, CallAnswer answer) {
+            if (mayRetry(answer) && budget.remaining() > 0 && ratio(call).spend()) {
+                budget.spend();
+                metrics.counter("calls.retries").inc();
+                tried.add(host.host().name());
+                dispatchToNext();
+                return;
+            }
+            end(answer.withUnspentRetries(budget.remaining()));
+        }
+
+        private boolean mayRetry(CallAnswer answer) {
+            boolean elsewhere = answer.reason() == null || answer.reason().permitsAnotherEndpoint();
+            return !cancelled
+                    && elsewhere
+                    && answer.suspicions().isEmpty()
+                    && answer.outcome().permitsRetry(call.policy().idempotent())
+                    && loop.nowMicros() < call.deadlineMicros();
+        }
+
+        private void end(CallAnswer answer) {
+            if (ended) {
+                throw new IllegalStateException("call " + call.context().path() + " is answered twice");
+            }
+            ended = true;
+            inFlight--;
+            metrics.counter("calls.outcome." + answer.outcome().wireName()).inc();
+            reply.accept(answer);
+        }
+
+        private void record(String candidate, String result, String reason, int level) {
+            log.record(new Decision(
+                    System.currentTimeMillis(),
+                    state.membership().self().host().name(),
+                    Decision.Kind.ROUTE,
+                    call.context().root(),
+                    call.context().attempt(),
+                    call.operation().toString(),
+                    Rank.importance(call.context().rank()),
+                    candidate,
+                    result,
+                    reason,
+                    level,
+                    budget.remaining()));
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/call/EffectService.java
@@ -0,0 +1,165 @@
+package org.anvillatch.node.call;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.anvillatch.decision.effect.BoundKey;
+import org.anvillatch.decision.effect.Claim;
+import org.anvillatch.decision.membership.Member;
+import org.anvillatch.decision.model.HostIdentity;
+import org.anvillatch.decision.model.Outcome;
+import org.anvillatch.decision.model.Rank;
+import org.anvillatch.decision.model.RefusalReason;
+import org.anvillatch.node.decisionlog.Decision;
+import org.anvillatch.node.decisionlog.DecisionLog;
+import org.anvillatch.node.loop.DecisionLoop;
+import org.anvillatch.node.loop.HostState;
+import org.anvillatch.node.peer.PeerClient;
+import org.anvillatch.node.peer.PeerMessage;
+
+/**
+ * Runs calls with an idempotency key at most once: each key is run only by the life of the host that issued it; other
+ * hosts pass the call on to that host.
+ *
+ * <p>Invariant: a call with a key is routed only after the ledger of the key's owner has answered that it may run. Owned
+ * by the decision loop.
+ */
+public final class EffectService {
+    private static final long ANSWER_GRACE_MICROS = 40_000;
+
+    private final DecisionLoop loop;
+    private final HostState state;
+    private final PeerClient peers;
+    private final CallRouter router;
+    private final DecisionLog log;
+
+    /**
+     * Creates the service.
+     *
+     * @param loop runs callbacks
+     * @param state decision state of the host
+     * @param peers sends to other hosts
+     * @param router routes calls whose key is claimed
+     * @param log receives every decision
+     */
+    public EffectService(DecisionLoop loop, HostState state, PeerClient peers, CallRouter router, DecisionLog log) {
+        this.loop = loop;
+        this.state = state;
+        this.peers = peers;
+        this.router = router;
+        this.log = log;
+    }
+
+    /**
+     * Runs a call with a key at its owner.
+     *
+     * @param call the call; its key is a bound key
+     * @param reply receives the answer, on the loop
+     */
+    public void run(Call call, Consumer<CallAnswer> reply) {
+        Optional<BoundKey> key = BoundKey.parse(call.key());
+        if (key.isEmpty()) {
+            throw new IllegalArgumentException("not a bound key: " + call.key());
+        }
+        if (key.get().owner().equals(self())) {
+            runHere(call, key.get(), reply);
+        } else {
+            passToOwner(call, key.get(), reply);
+        }
+    }
+
+    private HostIdentity self() {
+        return state.membership().self().host();
+    }
+
+    private void runHere(Call call, BoundKey key, Consumer<CallAnswer> reply) {
+        Claim claim = state.ledger().claim(key, call.fingerprint());
+        record(call, claim.verdict());
+        if (claim.verdict() == Claim.Verdict.RUN) {
+            router.route(call, answer -> {
+                state.ledger().ended(key, answer.outcome());
+                reply.accept(answer);
+            });
+        } else {
+            reply.accept(answerWithoutRun(call, claim));
+        }
+    }
+
+    private CallAnswer answerWithoutRun(Call call, Claim claim) {
+        String host = self().name();
+        return switch (claim.verdict()) {
+            case RUNNING -> CallAnswer.duplicate(Outcome.UNKNOWN, "an earlier attempt with this key is running", host);
+            case ENDED ->
+                CallAnswer.duplicate(
+                        claim.firstOutcome(),
+                        "an earlier attempt with this key ended: "
+                                + claim.firstOutcome().wireName(),
+                        host);
+            case OTHER_REQUEST ->
+                CallAnswer.duplicate(
+                        Outcome.UNKNOWN, "the key was used for a request with another operation or body", host);
+            case NEVER_ISSUED ->
+                CallAnswer.refused(
+                        RefusalReason.CLAIM_UNAVAILABLE,
+                        "the key was never issued",
+                        CallAnswer.LoadReport.NONE,
+                        call.retries(),
+                        host);
+            case UNKNOWN ->
+                CallAnswer.unknown("the key is older than what host " + host + " remembers", host, List.of());
+            case RUN -> throw new IllegalArgumentException("the claim permits the run");
+        };
+    }
+
+    private void passToOwner(Call call, BoundKey key, Consumer<CallAnswer> reply) {
+        Member owner = state.membership().find(key.owner().name());
+        if (owner == null || !owner.host().equals(key.owner())) {
+            reply.accept(ownerGone(key));
+            return;
+        }
+        long remaining = call.deadlineMicros() - loop.nowMicros();
+        OwnedCallMessage message = new OwnedCallMessage(
+                call.context(),
+                call.operation(),
+                call.policy(),
+                call.body(),
+                call.key(),
+                call.fingerprint(),
+                remaining,
+                call.retries());
+        peers.send(owner.address(), message, remaining + ANSWER_GRACE_MICROS, new PeerClient.AnswerListener() {
+            @Override
+            public void answered(PeerMessage answer) {
+                reply.accept(answer instanceof CallAnswer callAnswer ? callAnswer : ownerGone(key));
+            }
+
+            @Override
+            public void failed(PeerClient.PeerFailure failure) {
+                reply.accept(ownerGone(key));
+            }
+        });
+    }
+
+    private static CallAnswer ownerGone(BoundKey key) {
+        // Another attempt may have run there, so "not run" would be a guess even if nothing was sent now.
+        String detail = "host " + key.owner().name() + ", which issued the key, does not answer";
+        return CallAnswer.unknown(detail, key.owner().name(), List.of());
+    }
+
+    private void record(Call call, Claim.Verdict verdict) {
+        log.record(new Decision(
+                System.currentTimeMillis(),
+                self().name(),
+                Decision.Kind.CLAIM,
+                call.context().root(),
+                call.context().attempt(),
+                call.operation().toString(),
+                Rank.importance(call.context().rank()),
+                self().name(),
+                verdict.name().toLowerCase(java.util.Locale.ROOT),
+                "",
+                0,
+                call.retries()));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/call/Gatekeeping.java
@@ -0,0 +1,434 @@
+package org.anvillatch.node.call;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import com.codahale.metrics.MetricRegistry;
+import org.anvillatch.decision.admission.AdmissionAction;
+import org.anvillatch.decision.admission.ExecutionEnding;
+import org.anvillatch.decision.admission.Gatekeeper;
+import org.anvillatch.decision.admission.GatekeeperStatus;
+import org.anvillatch.decision.admission.Work;
+import org.anvillatch.decision.drain.EndpointPhase;
+import org.anvillatch.decision.model.Outcome;
+import org.anvillatch.decision.model.Rank;
+import org.anvillatch.decision.model.RefusalReason;
+import org.anvillatch.decision.quarantine.CrashSuspects;
+import org.anvillatch.decision.retry.RetryBudget;
+import org.anvillatch.node.decisionlog.Decision;
+import org.anvillatch.node.decisionlog.DecisionLog;
+import org.anvillatch.node.endpoint.EndpointAnnouncement;
+import org.anvillatch.node.endpoint.EndpointClient;
+import org.anvillatch.node.loop.DecisionLoop;
+import org.anvillatch.node.loop.HostState;
+
+/**
+ * Carries out the decisions of this host's {@link Gatekeeper}: sends started work to the endpoint and answers senders.
+ *
+ * <p>Invariants: each dispatch is answered exactly once; a dispatch that is answered "not run" was never sent to the
+ * endpoint, or the endpoint itself said that it did not run it. Owned by the decision loop.
+ */
+public final class Gatekeeping {
+    private static final int SERVER_ERROR = 500;
+    private static final int RECENT_SUCCESSES = 1_000;
+
+    private final DecisionLoop loop;
+    private final HostState state;
+    private final EndpointClient client;
+    private final DecisionLog log;
+    private final MetricRegistry metrics;
+    private final Map<Long, Execution> executions = new HashMap<>();
+    private final Set<String> recentSuccesses = new LinkedHashSet<>();
+    private Consumer<List<CrashSuspects.Suspicion>> crashListener = suspicions -> {};
+    private EndpointAnnouncement endpoint;
+    private long nextExecution = 1;
+    private long crashes;
+
+    /**
+     * Creates the gatekeeping of a host.
+     *
+     * @param loop runs callbacks
+     * @param state decision state of the host
+     * @param client sends to the endpoint
+     * @param log receives every decision
+     * @param metrics registry for counts
+     */
+    public Gatekeeping(
+            DecisionLoop loop, HostState state, EndpointClient client, DecisionLog log, MetricRegistry metrics) {
+        this.loop = loop;
+        this.state = state;
+        this.client = client;
+        this.log = log;
+        this.metrics = metrics;
+    }
+
+    /**
+     * Sets who hears of requests that were running when the endpoint crashed.
+     *
+     * @param listener receives new suspicions
+     */
+    public void onCrash(Consumer<List<CrashSuspects.Suspicion>> listener) {
+        crashListener = listener;
+    }
+
+    /** One dispatch at this host. Owned by the decision loop. */
+    public final class Execution {
+        private final long number;
+        private final DispatchMessage message;
+        private final Consumer<CallAnswer> reply;
+        private final long deadlineMicros;
+        private final RetryBudget budget;
+        private final Set<String> nestedNumbers = new java.util.HashSet<>();
+        private final List<CallRouter.Route> nested = new ArrayList<>();
+        private Runnable abort = () -> {};
+        private long startedMicros;
+        private boolean started;
+        private int nestedCount;
+
+        private Execution(long number, DispatchMessage message, Consumer<CallAnswer> reply, long nowMicros) {
+            this.number = number;
+            this.message = message;
+            this.reply = reply;
+            this.deadlineMicros = nowMicros + message.remainingMicros();
+            this.budget = new RetryBudget(Math.max(0, message.retries()));
+        }
+
+        /**
+         * Returns the call that runs.
+         *
+         * @return the sender's message
+         */
+        public DispatchMessage message() {
+            return message;
+        }
+
+        /**
+         * Returns the time after which nobody waits.
+         *
+         * @return microseconds on this host's clock
+         */
+        public long deadlineMicros() {
+            return deadlineMicros;
+        }
+
+        /**
+         * Returns the retries that nested calls may share.
+         *
+         * @return the budget, owned by the loop
+         */
+        public RetryBudget budget() {
+            return budget;
+        }
+
+        /**
+         * Names the next nested call.
+         *
+         * @param given number given by the endpoint, or null for the next one
+         * @return the number, or null if the endpoint has used it before
+         */
+        public String nameNested(String given) {
+            String name = given == null ? Integer.toString(nestedCount++) : given;
+            return nestedNumbers.add(name) ? name : null;
+        }
+
+        /**
+         * Registers a nested call, which is cancelled if this execution is.
+         *
+         * @param route the nested call
+         */
+        public void addNested(CallRouter.Route route) {
+            nested.add(route);
+        }
+
+        /**
+         * Returns the identity that the endpoint is given.
+         *
+         * @return host, life and number
+         */
+        public String name() {
+            return state.membership().self().host() + "/" + number;
+        }
+    }
+
+    /**
+     * Offers a call to the gatekeeper.
+     *
+     * @param message the call
+     * @param reply receives the answer
+     * @return number of the dispatch on this host
+     */
+    public long dispatch(DispatchMessage message, Consumer<CallAnswer> reply) {
+        long now = loop.nowMicros();
+        long number = nextExecution++;
+        Execution execution = new Execution(number, message, reply, now);
+        executions.put(number, execution);
+        if (endpoint != null && !endpoint.service().equals(message.operation().service())) {
+            refuse(execution, RefusalReason.NO_ENDPOINT, 0);
+        } else if (state.isQuarantined(message.fingerprint())) {
+            refuse(execution, RefusalReason.QUARANTINED, 0);
+        } else {
+            Work work = new Work(
+                    number,
+                    message.operation(),
+                    message.context().rank(),
+                    execution.deadlineMicros,
+                    message.levelFloor());
+            perform(state.gatekeeper().offer(work, now));
+        }
+        return number;
+    }
+
+    /**
+     * Withdraws a dispatch; it is still answered.
+     *
+     * @param number number of the dispatch
+     */
+    public void cancel(long number) {
+        Execution execution = executions.get(number);
+        if (execution == null) {
+            return;
+        }
+        List<CallRouter.Route> nested = List.copyOf(execution.nested);
+        nested.forEach(CallRouter.Route::cancel);
+        if (execution.started) {
+            execution.abort.run();
+        } else {
+            perform(state.gatekeeper().cancel(number, loop.nowMicros()));
+        }
+    }
+
+    /** Lets the gatekeeper drop overdue work. */
+    public void tick() {
+        perform(state.gatekeeper().tick(loop.nowMicros()));
+    }
+
+    /**
+     * Takes the endpoint's announcement; one with another instance replaces the endpoint.
+     *
+     * @param announcement what the endpoint says
+     */
+    public void announced(EndpointAnnouncement announcement) {
+        boolean same = endpoint != null && endpoint.instance().equals(announcement.instance());
+        if (same && state.gatekeeper().phase() == EndpointPhase.SERVING) {
+            return;
+        }
+        endpoint = announcement;
+        client.limitConnections(announcement.connections());
+        state.gatekeeper().announced(announcement.slots());
+        applyDrain();
+        publish();
+    }
+
+    /**
+     * Changes the phase of the endpoint.
+     *
+     * @param phase the new phase
+     */
+    public void enter(EndpointPhase phase) {
+        if (state.gatekeeper().phase() != phase) {
+            perform(state.gatekeeper().enter(phase, loop.nowMicros()));
+            publish();
+        }
+    }
+
+    /** Applies what operators have drained. */
+    public void applyDrain() {
+        Set<String> drained = state.drained();
+        boolean drain = drained.contains(state.membership().self().host().name())
+                || drained.contains(state.membership().self().domain());
+        enter(state.gatekeeper().phase().drained(drain));
+    }
+
+    private void publish() {
+        GatekeeperStatus status = state.gatekeeper().status();
+        String service = endpoint == null ? "" : endpoint.service();
+        state.membership().endpointChanged(service, status.slots(), status.phase());
+    }
+
+    /**
+     * Finds an execution by the name that its endpoint was given.
+     *
+     * @param name value of {@code Anvillatch-Context}
+     * @return the execution, or null if it has ended or never was
+     */
+    public Execution find(String name) {
+        int slash = name.lastIndexOf('/');
+        try {
+            Execution execution = executions.get(Long.parseLong(name.substring(slash + 1)));
+            return execution != null && execution.started && execution.name().equals(name) ? execution : null;
+        } catch (NumberFormatException notANumber) {
+            return null;
+        }
+    }
+
+    private void perform(List<AdmissionAction> actions) {
+        for (AdmissionAction action : actions) {
+            Execution execution = executions.get(action.execution());
+            if (action instanceof AdmissionAction.Start) {
+                start(execution);
+            } else if (action instanceof AdmissionAction.Refuse refusal) {
+                refuse(execution, refusal.reason(), refusal.level());
+            }
+        }
+    }
+
+    private void start(Execution execution) {
+        long now = loop.nowMicros();
+        execution.started = true;
+        execution.startedMicros = now;
+        record(execution, "start", "", 0);
+        execution.abort = client.send(
+                endpoint.address(),
+                execution.name(),
+                execution.message,
+                execution.deadlineMicros - now,
+                answer -> loop.execute(() -> ended(execution, answer)));
+    }
+
+    private void refuse(Execution execution, RefusalReason reason, int level) {
+        executions.remove(execution.number);
+        record(execution, "refuse", reason.wireName(), level);
+        metrics.counter("gatekeeper.refused." + reason.wireName()).inc();
+        String host = state.membership().self().host().name();
+        CallAnswer.LoadReport report = new CallAnswer.LoadReport(level, busy(), 0);
+        String detail = "host " + host + " refuses: " + reason.wireName();
+        execution.reply.accept(CallAnswer.refused(reason, detail, report, execution.budget.remaining(), host));
+    }
+
+    private int busy() {
+        GatekeeperStatus status = state.gatekeeper().status();
+        return status.running() + status.waiting();
+    }
+
+    private void ended(Execution execution, EndpointClient.EndpointAnswer answer) {
+        executions.remove(execution.number);
+        long now = loop.nowMicros();
+        long duration = now - execution.startedMicros;
+        List<AdmissionAction> next = state.gatekeeper()
+                .finished(execution.number, ending(answer.ending()), duration, execution.message.operation(), now);
+        List<CrashSuspects.Suspicion> suspicions = List.of();
+        if (answer.ending() == EndpointClient.Ending.BROKEN) {
+            suspicions = endpointBroke(execution);
+        } else if (answer.ending() == EndpointClient.Ending.NOT_CONNECTED) {
+            enter(EndpointPhase.SILENT);
+        } else if (answer.ending() == EndpointClient.Ending.ANSWERED) {
+            rememberSuccess(execution.message.fingerprint());
+        }
+        execution.reply.accept(toCallAnswer(execution, answer, duration, suspicions));
+        perform(next);
+    }
+
+    private static ExecutionEnding ending(EndpointClient.Ending ending) {
+        return switch (ending) {
+            case ANSWERED -> ExecutionEnding.ANSWERED;
+            case REJECTED -> ExecutionEnding.REJECTED;
+            case TIMED_OUT -> ExecutionEnding.TIMED_OUT;
+            case ABORTED -> ExecutionEnding.CANCELLED;
+            case BROKEN, MISMATCHED, NOT_CONNECTED -> ExecutionEnding.BROKEN;
+        };
+    }
+
+    private void rememberSuccess(String fingerprint) {
+        recentSuccesses.remove(fingerprint);
+        recentSuccesses.add(fingerprint);
+        if (recentSuccesses.size() > RECENT_SUCCESSES) {
+            recentSuccesses.remove(recentSuccesses.iterator().next());
+        }
+    }
+
+    /**
+     * Suspects everything that ran when the endpoint's connection broke. A request that this endpoint has completed
+     * before is not suspected, since a request that crashes endpoints crashes each of them.
+     */
+    private List<CrashSuspects.Suspicion> endpointBroke(Execution broken) {
+        if (state.gatekeeper().phase() == EndpointPhase.SERVING) {
+            crashes++;
+            enter(EndpointPhase.SILENT);
+        }
+        String crash = state.membership().self().host() + "/" + crashes;
+        String fingerprint = broken.message.fingerprint();
+        if (recentSuccesses.contains(fingerprint)) {
+            return List.of();
+        }
+        CrashSuspects.Suspicion suspicion = new CrashSuspects.Suspicion(fingerprint, crash);
+        if (state.suspects().add(suspicion)) {
+            crashListener.accept(List.of(suspicion));
+        }
+        return List.of(suspicion);
+    }
+
+    private CallAnswer toCallAnswer(
+            Execution execution,
+            EndpointClient.EndpointAnswer answer,
+            long duration,
+            List<CrashSuspects.Suspicion> suspicions) {
+        String host = state.membership().self().host().name();
+        int level = state.gatekeeper().levelFor(execution.message.operation(), loop.nowMicros());
+        int unspent = execution.budget.remaining();
+        CallAnswer.LoadReport report = new CallAnswer.LoadReport(level, busy(), duration);
+        return switch (answer.ending()) {
+            case ANSWERED -> {
+                Outcome outcome = answer.status() >= SERVER_ERROR ? Outcome.FAILED : Outcome.COMPLETE;
+                yield new CallAnswer(
+                        outcome, null, answer.status(), answer.body(), unspent, report, null, host, "", List.of());
+            }
+            case REJECTED ->
+                CallAnswer.refused(
+                        RefusalReason.OVERLOAD, "the endpoint did not run the request", report, unspent, host);
+            case NOT_CONNECTED ->
+                CallAnswer.refused(
+                        RefusalReason.NO_ENDPOINT,
+                        "the endpoint of host " + host + " is not reachable",
+                        report,
+                        unspent,
+                        host);
+            case TIMED_OUT, ABORTED, BROKEN, MISMATCHED ->
+                CallAnswer.unknown(
+                                "the endpoint of host " + host + " gave no complete answer: " + answer.detail(),
+                                host,
+                                suspicions)
+                        .withReport(report);
+        };
+    }
+
+    /**
+     * Returns the dispatches that are not answered yet.
+     *
+     * @return 0 or more
+     */
+    public int inFlight() {
+        return executions.size();
+    }
+
+    /**
+     * Returns the endpoint that announced itself.
+     *
+     * @return the announcement, or null if there was none
+     */
+    public EndpointAnnouncement endpoint() {
+        return endpoint;
+    }
+
+    private void record(Execution execution, String result, String reason, int level) {
+        DispatchMessage message = execution.message;
+        String host = state.membership().self().host().name();
+        log.record(new Decision(
+                System.currentTimeMillis(),
+                host,
+                Decision.Kind.ADMIT,
+                message.context().root(),
+                message.context().attempt(),
+                message.operation().toString(),
+                Rank.importance(message.context().rank()),
+                host,
+                result,
+                reason,
+                level,
+                execution.budget.remaining()));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/caller/CallHandler.java
@@ -0,0 +1,346 @@
+package org.anvillatch.node.caller;
+
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import org.anvillatch.decision.configuration.Configuration;
+import org.anvillatch.decision.configuration.OperationPolicy;
+import org.anvillatch.decision.effect.BoundKey;
+import org.anvillatch.decision.model.OperationName;
+import org.anvillatch.decision.model.Rank;
+import org.anvillatch.decision.model.RefusalReason;
+import org.anvillatch.decision.retry.RetryBudget;
+import org.anvillatch.node.call.Call;
+import org.anvillatch.node.call.CallAnswer;
+import org.anvillatch.node.call.CallBody;
+import org.anvillatch.node.call.CallContext;
+import org.anvillatch.node.call.CallRouter;
+import org.anvillatch.node.call.EffectService;
+import org.anvillatch.node.call.Gatekeeping;
+import org.anvillatch.node.decisionlog.Decision;
+import org.anvillatch.node.decisionlog.DecisionLog;
+import org.anvillatch.node.endpoint.CallHeaders;
+import org.anvillatch.node.loop.DecisionLoop;
+import org.anvillatch.node.loop.HostState;
+import org.apache.commons.codec.digest.MurmurHash3;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * Takes calls by HTTP: root requests of callers, and nested calls of this host's own endpoint. The interface is
+ * described in {@code docs/INTERFACES.md}. Thread safe; decisions run on the decision loop.
+ */
+public final class CallHandler extends Handler.Abstract.NonBlocking {
+    /** Largest body of a request, in bytes. */
+    public static final int LARGEST_BODY_BYTES = 1024 * 1024;
+
+    /** Longest identity of a request, in characters. */
+    public static final int LONGEST_REQUEST_ID = 128;
+
+    private static final String PREFIX = "/v1/call/";
+    private static final int BAD_REQUEST = 400;
+    private static final int METHOD_NOT_ALLOWED = 405;
+    private static final int CONFLICT = 409;
+    private static final int CONTENT_TOO_LARGE = 413;
+    private static final long MICROS_PER_MILLI = 1_000;
+
+    private final DecisionLoop loop;
+    private final HostState state;
+    private final CallRouter router;
+    private final EffectService effects;
+    private final Gatekeeping gatekeeping;
+    private final DecisionLog log;
+    private final Timer timer;
+    private final AtomicLong nextRequest = new AtomicLong();
+    private volatile boolean leaving;
+
+    private record Exchange(Request request, Response response, Callback callback, OperationName operation) {}
+
+    /**
+     * Creates the handler.
+     *
+     * @param loop runs decisions
+     * @param state decision state of the host
+     * @param router routes calls
+     * @param effects runs calls with an idempotency key
+     * @param gatekeeping knows the parents of nested calls
+     * @param log receives every answer
+     * @param metrics registry for the duration of calls
+     */
+    public CallHandler(
+            DecisionLoop loop,
+            HostState state,
+            CallRouter router,
+            EffectService effects,
+            Gatekeeping gatekeeping,
+            DecisionLog log,
+            MetricRegistry metrics) {
+        this.loop = loop;
+        this.state = state;
+        this.router = router;
+        this.effects = effects;
+        this.gatekeeping = gatekeeping;
+        this.log = log;
+        this.timer = metrics.timer("calls.duration");
+    }
+
+    /** Refuses new root requests from now on. */
+    public void leave() {
+        leaving = true;
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        String path = Request.getPathInContext(request);
+        if (!path.startsWith(PREFIX)) {
+            return false;
+        }
+        String[] parts = path.substring(PREFIX.length()).split("/", -1);
+        if (parts.length != 2 || parts[0].isEmpty() || parts[1].isEmpty()) {
+            String detail = "path \"" + path + "\" is not " + PREFIX + "SERVICE/OPERATION";
+            HttpAnswers.badRequest(response, BAD_REQUEST, detail, callback);
+        } else if (!request.getMethod().equals("POST")) {
+            response.getHeaders().put(HttpHeader.ALLOW, "POST");
+            HttpAnswers.badRequest(response, METHOD_NOT_ALLOWED, "method must be POST", callback);
+        } else if (request.getLength() > LARGEST_BODY_BYTES) {
+            tooLarge(response, callback);
+        } else {
+            read(new Exchange(request, response, callback, new OperationName(parts[0], parts[1])));
+        }
+        return true;
+    }
+
+    private static void tooLarge(Response response, Callback callback) {
+        String detail = "body is longer than " + LARGEST_BODY_BYTES + " bytes";
+        response.getHeaders().put(HttpHeader.CONNECTION, "close");
+        HttpAnswers.badRequest(response, CONTENT_TOO_LARGE, detail, callback);
+    }
+
+    private void read(Exchange exchange) {
+        Content.Source.asByteArrayAsync(exchange.request(), LARGEST_BODY_BYTES).whenComplete((content, failure) -> {
+            if (failure == null) {
+                loop.execute(() -> decide(exchange, content));
+            } else if (failure instanceof IllegalStateException) {
+                tooLarge(exchange.response(), exchange.callback());
+            } else {
+                exchange.callback().failed(failure);
+            }
+        });
+    }
+
+    private void decide(Exchange exchange, byte[] content) {
+        try {
+            String type = exchange.request().getHeaders().get(HttpHeader.CONTENT_TYPE);
+            CallBody body = new CallBody(type == null ? "" : type, content);
+            String context = exchange.request().getHeaders().get(CallHeaders.CONTEXT);
+            if (context == null) {
+                decideRoot(exchange, body);
+            } else {
+                decideNested(exchange, context, body);
+            }
+        } catch (HeaderException problem) {
+            HttpAnswers.badRequest(exchange.response(), BAD_REQUEST, problem.getMessage(), exchange.callback());
+        }
+    }
+
+    private void decideRoot(Exchange exchange, CallBody body) throws HeaderException {
+        String root = requestId(exchange.request());
+        int attempt = (int) number(exchange.request(), CallHeaders.ATTEMPT, 0, 0, Short.MAX_VALUE);
+        RefusalReason refusal = refusalOfRoot(exchange.operation(), attempt);
+        if (refusal != null) {
+            refuse(exchange, root, refusal);
+            return;
+        }
+        Configuration configuration = state.configuration().current();
+        OperationPolicy policy = configuration.policy(exchange.operation());
+        int rank = Rank.of(configuration.importance(policy), root);
+        String traceparent = header(exchange.request(), CallHeaders.TRACEPARENT);
+        CallContext context = new CallContext(root, attempt, root, rank, !policy.idempotent(), traceparent);
+        int retries = RetryBudget.shareOfAttempt(configuration.retryBound(), attempt);
+        run(exchange, context, policy, body, policy.deadlineMillis() * MICROS_PER_MILLI, retries, null);
+    }
+
+    private RefusalReason refusalOfRoot(OperationName operation, int attempt) {
+        if (leaving) {
+            return RefusalReason.DRAINING;
+        }
+        if (!state.configuration().isKnown()) {
+            return RefusalReason.NO_CONFIGURATION;
+        }
+        Configuration configuration = state.configuration().current();
+        if (configuration.policy(operation) == null) {
+            return RefusalReason.UNDECLARED;
+        }
+        boolean exhausted = RetryBudget.shareOfAttempt(configuration.retryBound(), attempt) < 0;
+        return exhausted ? RefusalReason.RETRY_BUDGET : null;
+    }
+
+    private void decideNested(Exchange exchange, String name, CallBody body) throws HeaderException {
+        Gatekeeping.Execution parent = gatekeeping.find(name);
+        if (parent == null) {
+            String detail = CallHeaders.CONTEXT + " \"" + name + "\" names no execution that runs on this host";
+            HttpAnswers.badRequest(exchange.response(), CONFLICT, detail, exchange.callback());
+            return;
+        }
+        CallContext above = parent.message().context();
+        OperationPolicy policy = state.configuration().current().policy(exchange.operation());
+        if (policy == null) {
+            refuse(exchange, above.root(), RefusalReason.UNDECLARED);
+            return;
+        }
+        String given = exchange.request().getHeaders().get(CallHeaders.CALL_NUMBER);
+        String number = parent.nameNested(given);
+        if (number == null) {
+            String detail = CallHeaders.CALL_NUMBER + " \"" + given + "\" was used before by this execution";
+            HttpAnswers.badRequest(exchange.response(), CONFLICT, detail, exchange.callback());
+            return;
+        }
+        CallContext context = new CallContext(
+                above.root(),
+                above.attempt(),
+                parent.name() + ":" + number,
+                above.rank(),
+                above.singleRun() && !policy.idempotent(),
+                above.traceparent());
+        long remaining = parent.deadlineMicros() - loop.nowMicros();
+        run(exchange, context, policy, body, remaining, parent.budget().takeShare(), parent);
+    }
+
+    private void run(
+            Exchange exchange,
+            CallContext context,
+            OperationPolicy policy,
+            CallBody body,
+            long longestMicros,
+            int retries,
+            Gatekeeping.Execution parent)
+            throws HeaderException {
+        long longestMillis = Math.max(1, longestMicros / MICROS_PER_MILLI);
+        long millis = number(exchange.request(), CallHeaders.TIMEOUT, longestMillis, 1, Integer.MAX_VALUE);
+        long deadline = loop.nowMicros() + Math.min(longestMicros, millis * MICROS_PER_MILLI);
+        String key = keyOf(exchange.request(), policy, context);
+        String fingerprint = fingerprint(exchange.operation(), body);
+        Call call = new Call(context, exchange.operation(), policy, body, key, fingerprint, deadline, retries);
+        long started = System.nanoTime();
+        if (!key.isEmpty()) {
+            effects.run(call, answer -> finish(exchange, call, answer, parent, started));
+        } else {
+            CallRouter.Route route = router.route(call, answer -> finish(exchange, call, answer, parent, started));
+            if (parent != null) {
+                parent.addNested(route);
+            }
+        }
+    }
+
+    private static String keyOf(Request request, OperationPolicy policy, CallContext context) throws HeaderException {
+        String key = header(request, CallHeaders.IDEMPOTENCY_KEY);
+        if (policy.idempotent()) {
+            return "";
+        }
+        if (key.isEmpty()) {
+            if (context.singleRun() && !context.path().equals(context.root())) {
+                // No ancestor can run twice, so neither can this call.
+                return "";
+            }
+            throw new HeaderException(CallHeaders.IDEMPOTENCY_KEY
+                    + " is required: the operation is not idempotent. POST /v1/keys issues keys");
+        }
+        Optional<BoundKey> bound = BoundKey.parse(key);
+        if (bound.isEmpty()) {
+            throw new HeaderException(CallHeaders.IDEMPOTENCY_KEY + " \"" + key
+                    + "\" was not issued by this system. POST /v1/keys issues keys");
+        }
+        return key;
+    }
+
+    private static String fingerprint(OperationName operation, CallBody body) {
+        byte[] name = operation.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        int seed = MurmurHash3.hash32x86(name);
+        long[] hash = MurmurHash3.hash128x64(body.content(), 0, body.content().length, seed);
+        return String.format("%08x%016x%016x", seed, hash[0], hash[1]);
+    }
+
+    private void finish(
+            Exchange exchange, Call call, CallAnswer answer, Gatekeeping.Execution parent, long startedNanos) {
+        timer.update(System.nanoTime() - startedNanos, java.util.concurrent.TimeUnit.NANOSECONDS);
+        if (parent != null) {
+            parent.budget().giveBack(answer.unspentRetries());
+            state.gatekeeper()
+                    .downstreamLevel(
+                            parent.message().operation(), answer.report().level(), loop.nowMicros());
+        }
+        record(call, answer);
+        HttpAnswers.call(exchange.response(), call.context().root(), answer, exchange.callback());
+    }
+
+    private void refuse(Exchange exchange, String root, RefusalReason reason) {
+        String detail = "operation " + exchange.operation() + ": " + reason.wireName();
+        CallAnswer answer = CallAnswer.refused(
+                reason,
+                detail,
+                CallAnswer.LoadReport.NONE,
+                0,
+                state.membership().self().host().name());
+        HttpAnswers.call(exchange.response(), root, answer, exchange.callback());
+    }
+
+    private void record(Call call, CallAnswer answer) {
+        log.record(new Decision(
+                System.currentTimeMillis(),
+                state.membership().self().host().name(),
+                Decision.Kind.ANSWER,
+                call.context().root(),
+                call.context().attempt(),
+                call.operation().toString(),
+                Rank.importance(call.context().rank()),
+                answer.host(),
+                answer.outcome().wireName(),
+                answer.reason() == null ? "" : answer.reason().wireName(),
+                answer.report().level(),
+                answer.unspentRetries()));
+    }
+
+    private String requestId(Request request) throws HeaderException {
+        String id = header(request, CallHeaders.REQUEST_ID);
+        if (id.length() > LONGEST_REQUEST_ID) {
+            throw new HeaderException(CallHeaders.REQUEST_ID + " is longer than " + LONGEST_REQUEST_ID + " characters");
+        }
+        return id.isEmpty() ? state.membership().self().host() + "-" + nextRequest.incrementAndGet() : id;
+    }
+
+    private static String header(Request request, String name) {
+        String value = request.getHeaders().get(name);
+        return value == null ? "" : value.strip();
+    }
+
+    private static long number(Request request, String name, long absent, long least, long most)
+            throws HeaderException {
+        String value = header(request, name);
+        if (value.isEmpty()) {
+            return absent;
+        }
+        try {
+            long number = Long.parseLong(value);
+            if (number >= least && number <= most) {
+                return number;
+            }
+        } catch (NumberFormatException notANumber) {
+            // Reported below, together with numbers out of range.
+        }
+        throw new HeaderException(name + " \"" + value + "\" is not a number from " + least + " to " + most);
+    }
+
+    private static final class HeaderException extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        private HeaderException(String message) {
+            super(message);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/caller/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * HTTP towards callers.
+ */
+package org.anvillatch.node.caller;
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/configuration/ConfigurationService.java
@@ -0,0 +1,394 @@
+package org.anvillatch.node.configuration;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.anvillatch.decision.configuration.ChangeVerdict;
+import org.anvillatch.decision.configuration.ConfigurationChange;
+import org.anvillatch.decision.configuration.ConfigurationRecord;
+import org.anvillatch.decision.configuration.ConfigurationSnapshot;
+import org.anvillatch.decision.membership.Member;
+import org.anvillatch.decision.model.Rank;
+import org.anvillatch.node.loop.DecisionLoop;
+import org.anvillatch.node.loop.HostState;
+import org.anvillatch.node.peer.FrameCodec;
+import org.anvillatch.node.peer.GossipMessages;
+import org.anvillatch.node.peer.PeerClient;
+import org.anvillatch.node.peer.PeerMessage;
+import org.anvillatch.node.platform.PlatformLog;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Reads the configuration stream, spreads new records to other hosts and appends changes.
+ *
+ * <p>A few hosts of each failure domain, chosen by rendezvous hashing, read the log often; each new record is pushed to
+ * a few random hosts at once, and pings tell hosts that lag. Owned by the decision loop: all methods are called on it.
+ *
+ * <p>Invariant: a change is reported as accepted only after its record was reduced.
+ */
+public final class ConfigurationService {
+    /** Name of the stream. */
+    public static final String STREAM = "configuration";
+
+    /** Time between two reads of a host that reads often, in microseconds. */
+    public static final long READ_PERIOD_MICROS = 200_000;
+
+    private static final Logger LOG = LoggerFactory.getLogger(ConfigurationService.class);
+    private static final long SLOW_READ_PERIOD_MICROS = 5_000_000;
+    private static final int READERS_PER_DOMAIN = 3;
+    private static final int PUSH_FANOUT = 4;
+    private static final int RECENT_RECORDS = 256;
+    private static final int RECORDS_BETWEEN_SNAPSHOTS = 50;
+    private static final long PEER_TIMEOUT_MICROS = 1_000_000;
+    private static final long VERDICT_POLL_MICROS = 50_000;
+    private static final ObjectMapper MAPPER = FrameCodec.configure(new ObjectMapper());
+
+    private final DecisionLoop loop;
+    private final HostState state;
+    private final PeerClient peers;
+    private final PlatformLog log;
+    private final long snapshotPeriodMicros;
+    private final TreeMap<Long, ConfigurationRecord> recent = new TreeMap<>();
+    private final List<Runnable> changeListeners = new ArrayList<>();
+    private final Map<String, Boolean> fetching = new HashMap<>();
+    private boolean reading;
+    private long nextReadMicros;
+    private long lastSnapshotMicros;
+    private long lastSnapshotOffset = -1;
+    private boolean logAvailable;
+
+    /**
+     * Creates the service.
+     *
+     * @param loop runs callbacks
+     * @param state decision state of the host
+     * @param peers sends to other hosts
+     * @param log the platform's log
+     * @param snapshotPeriodMicros longest time between two snapshots on the stream
+     */
+    public ConfigurationService(
+            DecisionLoop loop, HostState state, PeerClient peers, PlatformLog log, long snapshotPeriodMicros) {
+        this.loop = loop;
+        this.state = state;
+        this.peers = peers;
+        this.log = log;
+        this.snapshotPeriodMicros = snapshotPeriodMicros;
+        this.lastSnapshotMicros = loop.nowMicros();
+    }
+
+    /**
+     * Registers what runs after each new configuration.
+     *
+     * @param listener runs on the loop
+     */
+    public void onChange(Runnable listener) {
+        changeListeners.add(listener);
+    }
+
+    /** Reads the log and writes a snapshot when it is time. */
+    public void tick() {
+        long now = loop.nowMicros();
+        if (now >= nextReadMicros) {
+            boolean often =
+                    readerRank() < READERS_PER_DOMAIN || !state.configuration().isKnown();
+            nextReadMicros = now + (often ? READ_PERIOD_MICROS : SLOW_READ_PERIOD_MICROS);
+            read();
+        }
+        writeSnapshotIfDue(now);
+    }
+
+    /** Reads the log at once, after this host was paused. */
+    public void readNow() {
+        nextReadMicros = 0;
+    }
+
+    private int readerRank() {
+        Member self = state.membership().self();
+        int own = readerOrder(self);
+        int rank = 0;
+        for (Member member : state.membership().all()) {
+            boolean rival =
+                    member.domain().equals(self.domain()) && member.status().isPresent();
+            if (rival && readerOrder(member) > own) {
+                rank++;
+            }
+        }
+        return rank;
+    }
+
+    private static int readerOrder(Member member) {
+        return Rank.of(0, STREAM + member.host()) * Rank.LIMIT + member.host().hashCode() % Rank.LIMIT;
+    }
+
+    private void read() {
+        if (reading) {
+            return;
+        }
+        reading = true;
+        log.read(STREAM, state.configuration().nextOffset(), result -> loop.execute(() -> taken(result)));
+    }
+
+    private void taken(PlatformLog.ReadResult result) {
+        reading = false;
+        if (logAvailable != result.available()) {
+            logAvailable = result.available();
+            LOG.info("platform log is {}", logAvailable ? "available" : "unavailable");
+        }
+        if (!result.available()) {
+            return;
+        }
+        if (result.nextOffset() == 0) {
+            state.configuration().streamIsEmpty();
+        }
+        TreeMap<Long, ConfigurationRecord> records = new TreeMap<>();
+        for (PlatformLog.Entry entry : result.entries()) {
+            parse(entry, records);
+        }
+        take(records);
+    }
+
+    private static void parse(PlatformLog.Entry entry, TreeMap<Long, ConfigurationRecord> records) {
+        try {
+            records.put(entry.offset(), MAPPER.readValue(entry.value(), ConfigurationRecord.class));
+        } catch (IOException malformed) {
+            LOG.warn(
+                    "record at offset {} of stream {} is malformed: {}",
+                    entry.offset(),
+                    STREAM,
+                    malformed.getMessage());
+            // The offset still counts, so that all hosts reduce the same records.
+            records.put(
+                    entry.offset(), new ConfigurationRecord("malformed-" + entry.offset(), -2, "", 0, List.of(), null));
+        }
+    }
+
+    private void take(TreeMap<Long, ConfigurationRecord> records) {
+        long coveredBefore = covered();
+        long versionBefore = state.configuration().current().version();
+        records.forEach((offset, entry) -> {
+            state.configuration().take(offset, entry);
+            if (entry.snapshot() != null) {
+                lastSnapshotOffset = Math.max(lastSnapshotOffset, offset);
+                lastSnapshotMicros = loop.nowMicros();
+            }
+            recent.put(offset, entry);
+        });
+        while (recent.size() > RECENT_RECORDS) {
+            recent.pollFirstEntry();
+        }
+        reduced(coveredBefore, versionBefore);
+    }
+
+    private void reduced(long coveredBefore, long versionBefore) {
+        if (covered() > coveredBefore) {
+            push(coveredBefore);
+        }
+        if (state.configuration().current().version() != versionBefore) {
+            LOG.info(
+                    "configuration version {} is in force",
+                    state.configuration().current().version());
+            changeListeners.forEach(Runnable::run);
+        }
+    }
+
+    private long covered() {
+        return state.configuration().snapshot().coveredOffset();
+    }
+
+    private void push(long coveredBefore) {
+        List<Member> others = others();
+        PeerMessage message = answer(coveredBefore);
+        for (int index = 0; index < PUSH_FANOUT && !others.isEmpty(); index++) {
+            Member other = others.remove(state.random().nextInt(others.size()));
+            peers.send(other.address(), message, PEER_TIMEOUT_MICROS, IGNORE);
+        }
+    }
+
+    private List<Member> others() {
+        List<Member> others = new ArrayList<>();
+        for (Member member : state.membership().all()) {
+            boolean isSelf = member.host().equals(state.membership().self().host());
+            if (!isSelf && member.status().isPresent()) {
+                others.add(member);
+            }
+        }
+        return others;
+    }
+
+    private static final PeerClient.AnswerListener IGNORE = new PeerClient.AnswerListener() {
+        @Override
+        public void answered(PeerMessage message) {
+            LOG.trace("push confirmed");
+        }
+
+        @Override
+        public void failed(PeerClient.PeerFailure failure) {
+            LOG.trace("push not confirmed");
+        }
+    };
+
+    /**
+     * Answers a host that asks for the configuration.
+     *
+     * @param coveredOffset how much that host has reduced
+     * @return the missing records, or a snapshot if they are no longer held
+     */
+    public GossipMessages.ConfigurationAnswer answer(long coveredOffset) {
+        Member self = state.membership().self();
+        boolean held = !recent.isEmpty() && recent.firstKey() <= coveredOffset + 1;
+        List<GossipMessages.OffsetRecord> records = new ArrayList<>();
+        if (held) {
+            recent.tailMap(coveredOffset, false)
+                    .forEach((offset, entry) -> records.add(new GossipMessages.OffsetRecord(offset, entry)));
+        }
+        boolean known = state.configuration().isKnown();
+        ConfigurationSnapshot snapshot =
+                held || !known ? null : state.configuration().snapshot();
+        return new GossipMessages.ConfigurationAnswer(
+                snapshot, records, self.host().name(), self.domain());
+    }
+
+    /**
+     * Takes what another host holds.
+     *
+     * @param answer records or a snapshot
+     */
+    public void learn(GossipMessages.ConfigurationAnswer answer) {
+        if (answer.snapshot() != null) {
+            long coveredBefore = covered();
+            long versionBefore = state.configuration().current().version();
+            state.configuration().adopt(answer.snapshot());
+            reduced(coveredBefore, versionBefore);
+        }
+        TreeMap<Long, ConfigurationRecord> records = new TreeMap<>();
+        answer.records().forEach(entry -> records.put(entry.offset(), entry.entry()));
+        if (!records.isEmpty() && records.lastKey() > covered()) {
+            take(records);
+        }
+    }
+
+    /**
+     * Fetches from another host if that host has reduced more.
+     *
+     * @param address IP number and port of the host
+     * @param coveredOffset how much it has reduced
+     */
+    public void heard(String address, long coveredOffset) {
+        boolean behind = coveredOffset > covered() || !state.configuration().isKnown();
+        if (!behind || fetching.putIfAbsent(address, true) != null) {
+            return;
+        }
+        PeerMessage request = new GossipMessages.ConfigurationRequest(covered());
+        peers.send(address, request, PEER_TIMEOUT_MICROS, new PeerClient.AnswerListener() {
+            @Override
+            public void answered(PeerMessage message) {
+                fetching.remove(address);
+                if (message instanceof GossipMessages.ConfigurationAnswer answer) {
+                    learn(answer);
+                }
+            }
+
+            @Override
+            public void failed(PeerClient.PeerFailure failure) {
+                fetching.remove(address);
+            }
+        });
+    }
+
+    private void writeSnapshotIfDue(long now) {
+        ConfigurationSnapshot snapshot = state.configuration().snapshot();
+        boolean hasContent = snapshot.configuration().version() >= 0;
+        boolean many = snapshot.coveredOffset() - lastSnapshotOffset > RECORDS_BETWEEN_SNAPSHOTS;
+        boolean old = now - lastSnapshotMicros > snapshotPeriodMicros;
+        if (!hasContent || !logAvailable || !many && !old || !isFirstOfAll()) {
+            return;
+        }
+        lastSnapshotMicros = now;
+        lastSnapshotOffset = snapshot.coveredOffset();
+        String author = state.membership().self().host().name();
+        String change = "snapshot-" + author + "-" + snapshot.coveredOffset();
+        append(
+                new ConfigurationRecord(
+                        change, snapshot.coveredOffset(), author, System.currentTimeMillis(), List.of(), snapshot),
+                result -> LOG.info(
+                        "snapshot of version {}: {}", snapshot.configuration().version(), result));
+    }
+
+    private boolean isFirstOfAll() {
+        String self = state.membership().self().host().name();
+        return state.membership().all().stream()
+                .filter(member -> member.status().isPresent())
+                .map(member -> member.host().name())
+                .min(Comparator.naturalOrder())
+                .orElse(self)
+                .equals(self);
+    }
+
+    private void append(ConfigurationRecord entry, Consumer<PlatformLog.AppendResult> listener) {
+        try {
+            byte[] value = MAPPER.writeValueAsBytes(entry);
+            log.append(STREAM, value, result -> loop.execute(() -> listener.accept(result)));
+        } catch (JsonProcessingException failure) {
+            throw new IllegalStateException("configuration record cannot be written", failure);
+        }
+    }
+
+    /**
+     * Appends a change and waits until its verdict is known.
+     *
+     * @param change identity of the change
+     * @param basedOn version it is based on
+     * @param author operator who makes it
+     * @param changes the statements
+     * @param waitMicros longest wait
+     * @param listener receives the verdict, or null with what became of the append
+     */
+    public void change(
+            String change,
+            long basedOn,
+            String author,
+            List<ConfigurationChange> changes,
+            long waitMicros,
+            ChangeListener listener) {
+        ConfigurationRecord entry =
+                new ConfigurationRecord(change, basedOn, author, System.currentTimeMillis(), changes, null);
+        append(entry, result -> {
+            if (result == PlatformLog.AppendResult.NOT_APPENDED) {
+                listener.ended(null, result);
+            } else {
+                awaitVerdict(change, result, loop.nowMicros() + waitMicros, listener);
+            }
+        });
+    }
+
+    /** Receiver of a change's result. */
+    public interface ChangeListener {
+        /**
+         * The change is decided, or the wait is over.
+         *
+         * @param verdict what became of the change, null if it is not known
+         * @param append what became of the append
+         */
+        void ended(ChangeVerdict verdict, PlatformLog.AppendResult append);
+    }
+
+    private void awaitVerdict(
+            String change, PlatformLog.AppendResult append, long untilMicros, ChangeListener listener) {
+        ChangeVerdict verdict = state.configuration().verdictOf(change);
+        if (verdict != null || loop.nowMicros() >= untilMicros) {
+            listener.ended(verdict, append);
+            return;
+        }
+        read();
+        loop.schedule(VERDICT_POLL_MICROS, () -> awaitVerdict(change, append, untilMicros, listener));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/configuration/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Reading, spreading and changing the configuration.
+ */
+package org.anvillatch.node.configuration;
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/decisionlog/DecisionLog.java
@@ -0,0 +1,167 @@
+package org.anvillatch.node.decisionlog;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.anvillatch.node.Service;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Writes one line for each decision on its own thread and remembers the latest decisions for operators.
+ *
+ * <p>Invariants: a caller of {@link #record} never waits for output; a line that is not written is counted in the
+ * metric {@code log.dropped}; at most {@link #REMEMBERED} decisions are kept. Thread safe.
+ */
+public final class DecisionLog implements Service {
+    /** Number of decisions that are kept for operators. */
+    public static final int REMEMBERED = 4_000;
+
+    private static final Logger LOG = LoggerFactory.getLogger(DecisionLog.class);
+    private static final Logger LINES = LoggerFactory.getLogger("anvillatch.decision");
+    private static final int QUEUE_LENGTH = 4_096;
+    private static final long STOP_MILLIS = 1_000;
+
+    /** Form of the lines. Immutable and thread safe. */
+    public enum Format {
+        /** Fields as {@code key=value}. */
+        TEXT {
+            @Override
+            String line(Decision decision) {
+                return "kind=" + decision.kind() + " request=" + decision.request() + " attempt="
+                        + decision.attempt() + " operation=" + decision.operation() + " importance="
+                        + decision.importance() + " candidate=" + decision.candidate() + " result="
+                        + decision.result() + " reason=" + decision.reason() + " level=" + decision.level()
+                        + " retriesLeft=" + decision.retriesLeft();
+            }
+        },
+        /** One JSON object a line. */
+        JSON {
+            @Override
+            String line(Decision decision) {
+                try {
+                    return MAPPER.writeValueAsString(decision);
+                } catch (JsonProcessingException impossible) {
+                    throw new IllegalStateException("decision cannot be written as JSON", impossible);
+                }
+            }
+        };
+
+        private static final ObjectMapper MAPPER = new ObjectMapper();
+
+        abstract String line(Decision decision);
+    }
+
+    private final Format format;
+    private final Counter dropped;
+    private final BlockingQueue<Decision> queue = new ArrayBlockingQueue<>(QUEUE_LENGTH);
+    private final Deque<Decision> remembered = new ArrayDeque<>();
+    private volatile boolean stopping;
+    private Thread writer;
+
+    /**
+     * Creates the log.
+     *
+     * @param format form of the lines
+     * @param metrics registry for the count of dropped lines
+     */
+    public DecisionLog(Format format, MetricRegistry metrics) {
+        this.format = format;
+        this.dropped = metrics.counter("log.dropped");
+    }
+
+    @Override
+    public void start() {
+        writer = new Thread(this::write, "decision-log");
+        writer.setDaemon(true);
+        writer.start();
+    }
+
+    private void write() {
+        try {
+            while (!stopping || !queue.isEmpty()) {
+                Decision decision = queue.poll(STOP_MILLIS / 10, java.util.concurrent.TimeUnit.MILLISECONDS);
+                if (decision != null) {
+                    LINES.info(format.line(decision));
+                }
+            }
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void stop() {
+        stopping = true;
+        if (writer == null) {
+            return;
+        }
+        try {
+            writer.join(STOP_MILLIS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+        if (writer.isAlive()) {
+            LOG.warn("{} decision lines were not written before the stop", queue.size());
+        }
+    }
+
+    /**
+     * Records a decision.
+     *
+     * @param decision the decision
+     */
+    public void record(Decision decision) {
+        if (LINES.isInfoEnabled() && !queue.offer(decision)) {
+            dropped.inc();
+        }
+        synchronized (remembered) {
+            remembered.addLast(decision);
+            if (remembered.size() > REMEMBERED) {
+                remembered.removeFirst();
+            }
+        }
+    }
+
+    /**
+     * Returns the remembered decisions about one request.
+     *
+     * @param request identity of the root request
+     * @return oldest first
+     */
+    public List<Decision> about(String request) {
+        return select(decision -> decision.request().equals(request));
+    }
+
+    /**
+     * Returns the remembered answers that were refusals.
+     *
+     * @return oldest first
+     */
+    public List<Decision> refusals() {
+        return select(decision ->
+                decision.kind() == Decision.Kind.ADMIT && decision.result().equals("refuse")
+                        || decision.kind() == Decision.Kind.ROUTE
+                                && decision.candidate().isEmpty());
+    }
+
+    private List<Decision> select(java.util.function.Predicate<Decision> condition) {
+        List<Decision> selected = new ArrayList<>();
+        synchronized (remembered) {
+            for (Decision decision : remembered) {
+                if (condition.test(decision)) {
+                    selected.add(decision);
+                }
+            }
+        }
+        return selected;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/decisionlog/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * One structured log line for each decision.
+ */
+package org.anvillatch.node.decisionlog;
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/endpoint/EndpointClient.java
@@ -0,0 +1,229 @@
+package org.anvillatch.node.endpoint;
+
+import java.net.ConnectException;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import org.anvillatch.node.Service;
+import org.anvillatch.node.StartException;
+import org.anvillatch.node.call.CallBody;
+import org.anvillatch.node.call.DispatchMessage;
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Sends executions to the endpoint of this host by HTTP.
+ *
+ * <p>Invariants: each execution's callback is called exactly once; an answer that is truncated, or that names another
+ * execution, closes its connection and is never passed on. Thread safe.
+ */
+public final class EndpointClient implements Service {
+    /** Largest answer that is accepted, in bytes. */
+    public static final int LARGEST_ANSWER_BYTES = 2 * 1024 * 1024;
+
+    private static final Logger LOG = LoggerFactory.getLogger(EndpointClient.class);
+    private static final long MICROS_PER_MILLI = 1_000;
+    private static final long IDLE_MILLIS = 30_000;
+    private static final int CONNECT_TIMEOUT_MILLIS = 500;
+    private static final int SERVICE_UNAVAILABLE = 503;
+
+    private final HttpClient client;
+
+    /** How a request to the endpoint ended. */
+    public enum Ending {
+        /** A complete answer has arrived. */
+        ANSWERED,
+        /** The endpoint says that it did not run the request. */
+        REJECTED,
+        /** No connection could be made; nothing was sent. */
+        NOT_CONNECTED,
+        /** The deadline passed. */
+        TIMED_OUT,
+        /** The caller gave up. */
+        ABORTED,
+        /** The connection broke before the answer was complete. */
+        BROKEN,
+        /** The answer belongs to another execution. */
+        MISMATCHED
+    }
+
+    /**
+     * What the endpoint answered. Immutable and thread safe.
+     *
+     * @param ending how the request ended
+     * @param status HTTP status, 0 if there is no answer
+     * @param body the answer's bytes
+     * @param detail explanation for people
+     */
+    public record EndpointAnswer(Ending ending, int status, CallBody body, String detail) {}
+
+    /** Receiver of one answer; called on any thread. */
+    public interface AnswerListener {
+        /**
+         * The request has ended.
+         *
+         * @param answer how it ended
+         */
+        void ended(EndpointAnswer answer);
+    }
+
+    private static final class AbortedException extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        private AbortedException() {
+            super("the caller gave up", null, false, false);
+        }
+    }
+
+    /**
+     * Creates the client.
+     *
+     * @param executor runs callbacks
+     * @param scheduler runs timeouts
+     */
+    public EndpointClient(Executor executor, Scheduler scheduler) {
+        ClientConnector connector = new ClientConnector();
+        connector.setSelectors(1);
+        connector.setExecutor(executor);
+        connector.setScheduler(scheduler);
+        client = new HttpClient(new org.eclipse.jetty.client.transport.HttpClientTransportDynamic(connector));
+        client.setExecutor(executor);
+        client.setScheduler(scheduler);
+        client.setFollowRedirects(false);
+        client.setIdleTimeout(IDLE_MILLIS);
+        client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+        client.setUserAgentField(null);
+    }
+
+    @Override
+    public void start() throws StartException {
+        try {
+            client.start();
+            client.getContentDecoderFactories().clear();
+        } catch (Exception failure) {
+            throw new StartException("endpoint client: " + failure.getMessage(), failure);
+        }
+    }
+
+    @Override
+    public void stop() {
+        try {
+            client.stop();
+        } catch (Exception failure) {
+            LOG.warn("endpoint client did not stop cleanly", failure);
+        }
+    }
+
+    /**
+     * Takes the bound on connections that the endpoint announced.
+     *
+     * @param connections connections that the endpoint accepts
+     */
+    public void limitConnections(int connections) {
+        client.setMaxConnectionsPerDestination(connections);
+        client.setMaxRequestsQueuedPerDestination(connections);
+    }
+
+    /**
+     * Sends one execution.
+     *
+     * @param address IP number and port of the endpoint
+     * @param execution identity that nested calls and the answer name
+     * @param message the call
+     * @param remainingMicros time left
+     * @param listener receives the ending
+     * @return handle that aborts the request
+     */
+    public Runnable send(
+            String address, String execution, DispatchMessage message, long remainingMicros, AnswerListener listener) {
+        long remainingMillis = Math.max(1, remainingMicros / MICROS_PER_MILLI);
+        Request request = client.newRequest(
+                        "http://" + address + "/" + message.operation().operation())
+                .method(HttpMethod.POST)
+                .timeout(remainingMillis, TimeUnit.MILLISECONDS)
+                .body(new BytesRequestContent(
+                        message.body().contentType().isEmpty()
+                                ? "application/octet-stream"
+                                : message.body().contentType(),
+                        message.body().content()));
+        request.headers(headers -> {
+            headers.put(CallHeaders.REQUEST_ID, message.context().root());
+            headers.put(CallHeaders.ATTEMPT, message.context().attempt());
+            headers.put(CallHeaders.CALL_PATH, message.context().path());
+            headers.put(CallHeaders.CONTEXT, execution);
+            headers.put(CallHeaders.TIMEOUT, remainingMillis);
+            if (!message.context().traceparent().isEmpty()) {
+                headers.put(CallHeaders.TRACEPARENT, message.context().traceparent());
+            }
+        });
+        request.send(new Listener(execution, listener));
+        return () -> request.abort(new AbortedException());
+    }
+
+    private static final class Listener extends BufferingResponseListener {
+        private final String execution;
+        private final AnswerListener listener;
+
+        private Listener(String execution, AnswerListener listener) {
+            super(LARGEST_ANSWER_BYTES);
+            this.execution = execution;
+            this.listener = listener;
+        }
+
+        @Override
+        public void onHeaders(org.eclipse.jetty.client.Response response) {
+            super.onHeaders(response);
+            if (isMismatched(response)) {
+                response.abort(new IllegalStateException("answer names another execution"));
+            }
+        }
+
+        private boolean isMismatched(org.eclipse.jetty.client.Response response) {
+            String named = response.getHeaders().get(CallHeaders.CONTEXT);
+            return named != null && !named.equals(execution);
+        }
+
+        @Override
+        public void onComplete(Result result) {
+            listener.ended(result.isSucceeded() ? answer(result) : failure(result));
+        }
+
+        private EndpointAnswer answer(Result result) {
+            int status = result.getResponse().getStatus();
+            String outcome = result.getResponse().getHeaders().get(CallHeaders.OUTCOME);
+            boolean rejected = status == SERVICE_UNAVAILABLE && CallHeaders.NOT_RUN.equals(outcome);
+            String type = result.getResponse().getHeaders().get(HttpHeader.CONTENT_TYPE);
+            CallBody body = new CallBody(type == null ? "" : type, getContent());
+            return new EndpointAnswer(rejected ? Ending.REJECTED : Ending.ANSWERED, status, body, "");
+        }
+
+        private EndpointAnswer failure(Result result) {
+            Throwable cause = result.getFailure();
+            Ending ending;
+            if (result.getResponse() != null && isMismatched(result.getResponse())) {
+                ending = Ending.MISMATCHED;
+            } else if (cause instanceof AbortedException) {
+                ending = Ending.ABORTED;
+            } else if (cause instanceof TimeoutException) {
+                ending = Ending.TIMED_OUT;
+            } else if (cause instanceof ConnectException
+                    || cause instanceof java.net.SocketTimeoutException
+                    || cause instanceof java.util.concurrent.RejectedExecutionException) {
+                ending = Ending.NOT_CONNECTED;
+            } else {
+                ending = Ending.BROKEN;
+            }
+            return new EndpointAnswer(ending, 0, CallBody.EMPTY, String.valueOf(cause.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/endpoint/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * HTTP towards the endpoint of this host.
+ */
+package org.anvillatch.node.endpoint;
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/loop/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The single-writer loop that owns all decision state.
+ */
+package org.anvillatch.node.loop;
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/membership/MembershipService.java
@@ -0,0 +1,232 @@
+package org.anvillatch.node.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.anvillatch.decision.membership.Member;
+import org.anvillatch.decision.membership.Membership;
+import org.anvillatch.decision.membership.MembershipAction;
+import org.anvillatch.decision.quarantine.CrashSuspects;
+import org.anvillatch.node.configuration.ConfigurationService;
+import org.anvillatch.node.loop.DecisionLoop;
+import org.anvillatch.node.loop.HostState;
+import org.anvillatch.node.peer.GossipMessages;
+import org.anvillatch.node.peer.PeerClient;
+import org.anvillatch.node.peer.PeerMessage;
+import org.anvillatch.node.peer.PeerServer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Sends the messages that {@link Membership} asks for and answers those of other hosts. Owned by the decision loop.
+ */
+public final class MembershipService {
+    /** Time between two ticks, in microseconds. */
+    public static final long TICK_MICROS = 50_000;
+
+    private static final Logger LOG = LoggerFactory.getLogger(MembershipService.class);
+    private static final long MESSAGE_TIMEOUT_MICROS = 1_000_000;
+    private static final int FAREWELLS = 8;
+
+    private final DecisionLoop loop;
+    private final HostState state;
+    private final PeerClient peers;
+    private final ConfigurationService configuration;
+
+    /**
+     * Creates the service.
+     *
+     * @param loop runs callbacks
+     * @param state decision state of the host
+     * @param peers sends to other hosts
+     * @param configuration learns which hosts have reduced more
+     */
+    public MembershipService(DecisionLoop loop, HostState state, PeerClient peers, ConfigurationService configuration) {
+        this.loop = loop;
+        this.state = state;
+        this.peers = peers;
+        this.configuration = configuration;
+    }
+
+    /** Sends what is due. */
+    public void tick() {
+        for (MembershipAction action : state.membership().tick(loop.nowMicros(), state.random())) {
+            if (action instanceof MembershipAction.Ping ping) {
+                ping(ping.address(), ping.target());
+            } else if (action instanceof MembershipAction.IndirectPing indirect) {
+                indirectPing(indirect);
+            } else if (action instanceof MembershipAction.Synchronize synchronize) {
+                synchronize(synchronize.address());
+            }
+        }
+    }
+
+    private long covered() {
+        return state.configuration().nextOffset() - 1;
+    }
+
+    private void ping(String address, String target) {
+        peers.send(address, pingMessage(), MESSAGE_TIMEOUT_MICROS, new Listener(address) {
+            @Override
+            void received(PeerMessage message) {
+                takeAnswer(address, target, message);
+            }
+        });
+    }
+
+    private PeerMessage pingMessage() {
+        Membership membership = state.membership();
+        return new GossipMessages.Ping(membership.self(), membership.updatesToSend(), covered());
+    }
+
+    private void takeAnswer(String address, String target, PeerMessage message) {
+        if (message instanceof GossipMessages.PingAnswer answer) {
+            state.membership().learn(answer.updates(), loop.nowMicros());
+            // Another life of the host, or another host at the same address, does not vouch for the target.
+            if (answer.name().equals(target)) {
+                state.membership().answered(target);
+            }
+            configuration.heard(address, answer.coveredOffset());
+        }
+    }
+
+    private void indirectPing(MembershipAction.IndirectPing action) {
+        PeerMessage request = new GossipMessages.IndirectPing(action.target(), action.targetAddress());
+        peers.send(action.address(), request, MESSAGE_TIMEOUT_MICROS, new Listener(action.address()) {
+            @Override
+            void received(PeerMessage message) {
+                if (message instanceof GossipMessages.Acknowledge answer && answer.accepted()) {
+                    state.membership().answered(action.target());
+                }
+            }
+        });
+    }
+
+    private void synchronize(String address) {
+        peers.send(address, synchronizeMessage(), MESSAGE_TIMEOUT_MICROS, new Listener(address) {
+            @Override
+            void received(PeerMessage message) {
+                if (message instanceof GossipMessages.Synchronize answer) {
+                    learn(address, answer);
+                }
+            }
+        });
+    }
+
+    private GossipMessages.Synchronize synchronizeMessage() {
+        Membership membership = state.membership();
+        return new GossipMessages.Synchronize(
+                membership.self().address(), membership.all(), state.suspects().all(), covered());
+    }
+
+    private void learn(String address, GossipMessages.Synchronize message) {
+        state.membership().learn(message.members(), loop.nowMicros());
+        message.suspicions().forEach(state.suspects()::add);
+        configuration.heard(address, message.coveredOffset());
+    }
+
+    /**
+     * Answers a ping.
+     *
+     * @param ping the request
+     * @param reply sends the answer
+     */
+    public void answer(GossipMessages.Ping ping, PeerServer.Reply reply) {
+        List<Member> heard = new ArrayList<>(ping.updates());
+        heard.add(ping.sender());
+        state.membership().learn(heard, loop.nowMicros());
+        configuration.heard(ping.sender().address(), ping.coveredOffset());
+        Membership membership = state.membership();
+        reply.send(
+                new GossipMessages.PingAnswer(membership.self().host().name(), membership.updatesToSend(), covered()));
+    }
+
+    /**
+     * Pings a host on behalf of another one.
+     *
+     * @param request the request
+     * @param reply sends the answer
+     */
+    public void answer(GossipMessages.IndirectPing request, PeerServer.Reply reply) {
+        peers.send(request.targetAddress(), pingMessage(), MESSAGE_TIMEOUT_MICROS, new PeerClient.AnswerListener() {
+            @Override
+            public void answered(PeerMessage message) {
+                boolean alive = message instanceof GossipMessages.PingAnswer answer
+                        && answer.name().equals(request.target());
+                reply.send(new GossipMessages.Acknowledge(alive));
+            }
+
+            @Override
+            public void failed(PeerClient.PeerFailure failure) {
+                reply.send(new GossipMessages.Acknowledge(false));
+            }
+        });
+    }
+
+    /**
+     * Answers an exchange.
+     *
+     * @param request the request
+     * @param reply sends the answer
+     */
+    public void answer(GossipMessages.Synchronize request, PeerServer.Reply reply) {
+        learn(request.sender(), request);
+        reply.send(synchronizeMessage());
+    }
+
+    /**
+     * Tells all hosts that may run the same service about requests that crash endpoints.
+     *
+     * @param suspicions new suspicions
+     */
+    public void spread(List<CrashSuspects.Suspicion> suspicions) {
+        String service = state.membership().self().service();
+        for (Member member : state.membership().all()) {
+            boolean concerned =
+                    member.service().equals(service) && member.status().isPresent();
+            if (concerned && !member.host().equals(state.membership().self().host())) {
+                peers.send(
+                        member.address(),
+                        new GossipMessages.Suspicions(suspicions),
+                        MESSAGE_TIMEOUT_MICROS,
+                        new Listener(member.address()));
+            }
+        }
+    }
+
+    /** Says farewell to a few hosts, which spread the word. */
+    public void leave() {
+        state.membership().leave();
+        int farewells = 0;
+        for (Member member : state.membership().all()) {
+            if (farewells < FAREWELLS
+                    && member.status().isPresent()
+                    && !member.host().equals(state.membership().self().host())) {
+                farewells++;
+                peers.send(member.address(), pingMessage(), MESSAGE_TIMEOUT_MICROS, new Listener(member.address()));
+            }
+        }
+    }
+
+    private static class Listener implements PeerClient.AnswerListener {
+        private final String address;
+
+        Listener(String address) {
+            this.address = address;
+        }
+
+        void received(PeerMessage message) {
+            LOG.trace("{} answered with {}", address, message);
+        }
+
+        @Override
+        public void answered(PeerMessage message) {
+            received(message);
+        }
+
+        @Override
+        public void failed(PeerClient.PeerFailure failure) {
+            LOG.debug("no answer from {}: {}", address, failure);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/membership/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Sending and receiving membership messages.
+ */
+package org.anvillatch.node.membership;
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/operator/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * HTTP towards operators.
+ */
+package org.anvillatch.node.operator;
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The process that runs on every endpoint host.
+ */
+package org.anvillatch.node;
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/peer/FrameCodec.java
@@ -0,0 +1,136 @@
+package org.anvillatch.node.peer;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.Optional;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.anvillatch.decision.configuration.ConfigurationChange;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/**
+ * Translates frames: four bytes of length, two bytes of mark, one byte of kind, one byte of flags, eight bytes of
+ * correlation, then the message in MessagePack. Numbers are big-endian. Thread safe.
+ */
+public final class FrameCodec {
+    /** Largest frame in bytes, without the length itself. */
+    public static final int LARGEST_FRAME_BYTES = 4 * 1024 * 1024;
+
+    private static final short MARK = (short) 0xA417;
+    private static final int LENGTH_BYTES = 4;
+    private static final int HEADER_BYTES = 12;
+    private static final byte ANSWER_FLAG = 1;
+    private static final ObjectMapper MAPPER = configure(new ObjectMapper(new MessagePackFactory()));
+
+    @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
+    @JsonSubTypes({
+        @JsonSubTypes.Type(value = ConfigurationChange.ImportanceOrder.class, name = "importance-order"),
+        @JsonSubTypes.Type(value = ConfigurationChange.Operation.class, name = "operation"),
+        @JsonSubTypes.Type(value = ConfigurationChange.RetryBound.class, name = "retry-bound"),
+        @JsonSubTypes.Type(value = ConfigurationChange.Drain.class, name = "drain"),
+        @JsonSubTypes.Type(value = ConfigurationChange.Quarantine.class, name = "quarantine")
+    })
+    private interface ChangeTypes {}
+
+    private FrameCodec() {}
+
+    /**
+     * Prepares a mapper for the types of the decision module.
+     *
+     * @param mapper a new mapper of any format
+     * @return the same mapper
+     */
+    public static ObjectMapper configure(ObjectMapper mapper) {
+        return mapper.addMixIn(ConfigurationChange.class, ChangeTypes.class)
+                .setSerializationInclusion(JsonInclude.Include.NON_NULL)
+                .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+    }
+
+    /**
+     * Encodes a frame.
+     *
+     * @param frame the frame
+     * @return bytes ready to be written
+     * @throws FrameException if the message is too large
+     */
+    public static ByteBuffer encode(Frame frame) throws FrameException {
+        byte[] body = encodeBody(frame.message());
+        int length = HEADER_BYTES + body.length;
+        if (length > LARGEST_FRAME_BYTES) {
+            throw new FrameException("frame of " + length + " bytes exceeds " + LARGEST_FRAME_BYTES, null);
+        }
+        ByteBuffer buffer = ByteBuffer.allocate(LENGTH_BYTES + length);
+        buffer.putInt(length);
+        buffer.putShort(MARK);
+        buffer.put((byte) MessageKind.of(frame.message()).code());
+        buffer.put(frame.answer() ? ANSWER_FLAG : 0);
+        buffer.putLong(frame.correlation());
+        buffer.put(body);
+        return buffer.flip();
+    }
+
+    private static byte[] encodeBody(PeerMessage message) throws FrameException {
+        try {
+            return MAPPER.writeValueAsBytes(message);
+        } catch (JsonProcessingException failure) {
+            throw new FrameException("cannot encode " + message.getClass().getSimpleName(), failure);
+        }
+    }
+
+    /**
+     * Decodes the next frame, if it is complete.
+     *
+     * @param buffer received bytes; its position moves past the frame
+     * @return the frame, or empty if more bytes are needed
+     * @throws FrameException if the bytes do not form a frame
+     */
+    public static Optional<Frame> decode(ByteBuffer buffer) throws FrameException {
+        if (buffer.remaining() < LENGTH_BYTES) {
+            return Optional.empty();
+        }
+        int length = buffer.getInt(buffer.position());
+        if (length < HEADER_BYTES || length > LARGEST_FRAME_BYTES) {
+            throw new FrameException(
+                    "frame length " + length + " is not " + HEADER_BYTES + " to " + LARGEST_FRAME_BYTES, null);
+        }
+        if (buffer.remaining() < LENGTH_BYTES + length) {
+            return Optional.empty();
+        }
+        buffer.getInt();
+        return Optional.of(decodeWhole(buffer, length));
+    }
+
+    private static Frame decodeWhole(ByteBuffer buffer, int length) throws FrameException {
+        short mark = buffer.getShort();
+        if (mark != MARK) {
+            throw new FrameException("mark at byte 4 is " + Integer.toHexString(mark & 0xFFFF), null);
+        }
+        int code = buffer.get();
+        boolean answer = buffer.get() == ANSWER_FLAG;
+        long correlation = buffer.getLong();
+        byte[] body = new byte[length - HEADER_BYTES];
+        buffer.get(body);
+        MessageKind kind = MessageKind.ofCode(code);
+        if (kind == null) {
+            throw new FrameException("kind " + code + " at byte 6 is not assigned", null);
+        }
+        return new Frame(correlation, answer, decodeBody(kind, body));
+    }
+
+    private static PeerMessage decodeBody(MessageKind kind, byte[] body) throws FrameException {
+        try {
+            PeerMessage message = MAPPER.readValue(body, kind.type());
+            if (message == null) {
+                throw new FrameException("message of kind " + kind + " is empty", null);
+            }
+            return message;
+        } catch (IOException | RuntimeException failure) {
+            throw new FrameException("message of kind " + kind + " is malformed: " + failure.getMessage(), failure);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/peer/MessageKind.java
@@ -0,0 +1,100 @@
+package org.anvillatch.node.peer;
+
+import org.anvillatch.node.call.CallAnswer;
+import org.anvillatch.node.call.DispatchMessage;
+import org.anvillatch.node.call.OwnedCallMessage;
+
+/**
+ * Kinds of messages and the types that carry them. A kind's code is its place on the wire and never changes. Immutable
+ * and thread safe.
+ */
+public enum MessageKind {
+    /** Asks whether a host is alive. */
+    PING(1, GossipMessages.Ping.class),
+    /** Answers a ping. */
+    PING_ANSWER(2, GossipMessages.PingAnswer.class),
+    /** Asks a host to ping another one. */
+    INDIRECT_PING(3, GossipMessages.IndirectPing.class),
+    /** Exchanges everything that is known. */
+    SYNCHRONIZE(4, GossipMessages.Synchronize.class),
+    /** Gives a gatekeeper a call to run. */
+    DISPATCH(5, DispatchMessage.class),
+    /** Answers a dispatch or an owned call. */
+    CALL_ANSWER(6, CallAnswer.class),
+    /** Withdraws a dispatch or an owned call. */
+    CANCEL(7, GossipMessages.Cancel.class),
+    /** Gives the owner of an idempotency key a call that carries the key. */
+    OWNED_CALL(8, OwnedCallMessage.class),
+    /** Asks for the configuration that a host holds. */
+    CONFIGURATION_REQUEST(9, GossipMessages.ConfigurationRequest.class),
+    /** Answers with the configuration. */
+    CONFIGURATION_ANSWER(10, GossipMessages.ConfigurationAnswer.class),
+    /** Spreads suspicions of requests that crash endpoints. */
+    SUSPICIONS(11, GossipMessages.Suspicions.class),
+    /** Confirms that something was received. */
+    ACKNOWLEDGE(12, GossipMessages.Acknowledge.class),
+    /** Asks for decisions that a host remembers. */
+    DECISIONS_REQUEST(13, GossipMessages.DecisionsRequest.class),
+    /** Answers with decisions. */
+    DECISIONS_ANSWER(14, GossipMessages.DecisionsAnswer.class),
+    /** Asks for the state of a host. */
+    STATUS_REQUEST(15, GossipMessages.StatusRequest.class),
+    /** Answers with the state of a host. */
+    STATUS_ANSWER(16, GossipMessages.StatusAnswer.class);
+
+    private final int code;
+    private final Class<? extends PeerMessage> type;
+
+    MessageKind(int code, Class<? extends PeerMessage> type) {
+        this.code = code;
+        this.type = type;
+    }
+
+    /**
+     * Returns the number on the wire.
+     *
+     * @return 1 to 127
+     */
+    public int code() {
+        return code;
+    }
+
+    /**
+     * Returns the type that carries this kind.
+     *
+     * @return a record class
+     */
+    public Class<? extends PeerMessage> type() {
+        return type;
+    }
+
+    /**
+     * Finds the kind of a number.
+     *
+     * @param code number on the wire
+     * @return the kind, or null if the number is not assigned
+     */
+    public static MessageKind ofCode(int code) {
+        for (MessageKind kind : values()) {
+            if (kind.code == code) {
+                return kind;
+            }
+        }
+        return null;
+    }
+
+    /**
+     * Finds the kind of a message.
+     *
+     * @param message the message
+     * @return its kind
+     */
+    public static MessageKind of(PeerMessage message) {
+        for (MessageKind kind : values()) {
+            if (kind.type == message.getClass()) {
+                return kind;
+            }
+        }
+        throw new IllegalArgumentException("no kind for " + message.getClass());
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/peer/PeerClient.java
@@ -0,0 +1,260 @@
+package org.anvillatch.node.peer;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.Executor;
+
+import org.anvillatch.node.Service;
+import org.anvillatch.node.StartException;
+import org.anvillatch.node.loop.DecisionLoop;
+import org.eclipse.jetty.io.ClientConnectionFactory;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.Transport;
+import org.eclipse.jetty.util.Promise;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Sends requests to other hosts over one cached connection for each address.
+ *
+ * <p>Invariants: each request's callback is called exactly once; it says {@link PeerFailure#NOT_SENT} only if not one
+ * byte of the request was given to a socket. State is owned by the decision loop: all methods are called on it.
+ */
+public final class PeerClient implements Service {
+    private static final Logger LOG = LoggerFactory.getLogger(PeerClient.class);
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(20);
+
+    /** Why there is no answer. */
+    public enum PeerFailure {
+        /** Nothing was sent. */
+        NOT_SENT,
+        /** The request was or may have been sent, and no answer came. */
+        NO_ANSWER
+    }
+
+    /** Receiver of one answer. */
+    public interface AnswerListener {
+        /**
+         * The answer has arrived.
+         *
+         * @param message the answer
+         */
+        void answered(PeerMessage message);
+
+        /**
+         * No answer will arrive.
+         *
+         * @param failure why
+         */
+        void failed(PeerFailure failure);
+    }
+
+    /** A request that waits for its answer. */
+    public static final class Pending {
+        private final Link link;
+        private final long correlation;
+        private final AnswerListener listener;
+        private boolean sent;
+
+        private Pending(Link link, long correlation, AnswerListener listener) {
+            this.link = link;
+            this.correlation = correlation;
+            this.listener = listener;
+        }
+    }
+
+    private static final class Link {
+        private final String address;
+        private final Map<Long, Pending> pending = new HashMap<>();
+        private final Map<Long, PeerMessage> waiting = new java.util.LinkedHashMap<>();
+        private PeerConnection connection;
+
+        private Link(String address) {
+            this.address = address;
+        }
+    }
+
+    private final DecisionLoop loop;
+    private final ClientConnector connector = new ClientConnector();
+    private final Map<String, Link> links = new HashMap<>();
+    private long nextCorrelation = 1;
+
+    /**
+     * Creates the client.
+     *
+     * @param loop runs callbacks
+     * @param executor runs reads
+     * @param scheduler runs timeouts
+     */
+    public PeerClient(DecisionLoop loop, Executor executor, Scheduler scheduler) {
+        this.loop = loop;
+        connector.setExecutor(executor);
+        connector.setScheduler(scheduler);
+        connector.setSelectors(1);
+        connector.setConnectTimeout(CONNECT_TIMEOUT);
+        connector.setIdleTimeout(IDLE_TIMEOUT);
+    }
+
+    @Override
+    public void start() throws StartException {
+        try {
+            connector.start();
+        } catch (Exception failure) {
+            throw new StartException("peer client: " + failure.getMessage(), failure);
+        }
+    }
+
+    @Override
+    public void stop() {
+        try {
+            connector.stop();
+        } catch (Exception failure) {
+            LOG.warn("peer client did not stop cleanly", failure);
+        }
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param address IP number and port
+     * @param message the request
+     * @param timeoutMicros time to wait for the answer
+     * @param listener receives the answer, on the loop
+     * @return handle that withdraws the request
+     */
+    public Pending send(String address, PeerMessage message, long timeoutMicros, AnswerListener listener) {
+        Link link = links.computeIfAbsent(address, this::connect);
+        Pending pending = new Pending(link, nextCorrelation++, listener);
+        link.pending.put(pending.correlation, pending);
+        if (link.connection == null) {
+            link.waiting.put(pending.correlation, message);
+        } else {
+            write(pending, message);
+        }
+        loop.schedule(timeoutMicros, () -> fail(pending, pending.sent ? PeerFailure.NO_ANSWER : PeerFailure.NOT_SENT));
+        return pending;
+    }
+
+    /**
+     * Tells the other host that the answer is no longer wanted. The callback is still called.
+     *
+     * @param pending handle of the request
+     */
+    public void cancel(Pending pending) {
+        if (!pending.sent || !pending.link.pending.containsKey(pending.correlation)) {
+            return;
+        }
+        try {
+            Frame frame = new Frame(nextCorrelation++, false, new GossipMessages.Cancel(pending.correlation));
+            pending.link.connection.send(frame);
+        } catch (FrameException failure) {
+            LOG.debug("cancel not sent", failure);
+        }
+    }
+
+    private void write(Pending pending, PeerMessage message) {
+        try {
+            Frame frame = new Frame(pending.correlation, false, message);
+            pending.sent = true;
+            pending.link.connection.send(frame);
+        } catch (FrameException tooLarge) {
+            LOG.warn("request to {} not sent: {}", pending.link.address, tooLarge.getMessage());
+            fail(pending, PeerFailure.NOT_SENT);
+        }
+    }
+
+    private void fail(Pending pending, PeerFailure failure) {
+        pending.link.waiting.remove(pending.correlation);
+        if (pending.link.pending.remove(pending.correlation) != null) {
+            pending.listener.failed(failure);
+        }
+    }
+
+    private Link connect(String address) {
+        Link link = new Link(address);
+        int colon = address.lastIndexOf(':');
+        InetSocketAddress socketAddress;
+        try {
+            int port = Integer.parseInt(address.substring(colon + 1));
+            socketAddress = new InetSocketAddress(address.substring(0, colon), port);
+        } catch (RuntimeException malformed) {
+            loop.execute(() -> broken(link));
+            return link;
+        }
+        Map<String, Object> context = new HashMap<>();
+        context.put(ClientConnectionFactory.CONTEXT_KEY, (ClientConnectionFactory)
+                (endPoint, parameters) -> newConnection(link, endPoint));
+        context.put(Transport.class.getName(), Transport.TCP_IP);
+        context.put(ClientConnector.CONNECTION_PROMISE_CONTEXT_KEY, new Promise<Connection>() {
+            @Override
+            public void failed(Throwable failure) {
+                LOG.debug("connect to {} failed", address, failure);
+                loop.execute(() -> broken(link));
+            }
+        });
+        connector.connect(socketAddress, context);
+        return link;
+    }
+
+    private Connection newConnection(Link link, EndPoint endPoint) throws IOException {
+        return new PeerConnection(endPoint, connector.getExecutor(), new LinkListener(link));
+    }
+
+    private void openedOnLoop(Link link, PeerConnection connection) {
+        link.connection = connection;
+        link.waiting.forEach((correlation, message) -> {
+            Pending pending = link.pending.get(correlation);
+            if (pending != null) {
+                write(pending, message);
+            }
+        });
+        link.waiting.clear();
+    }
+
+    private void broken(Link link) {
+        links.remove(link.address, link);
+        for (Pending pending : java.util.List.copyOf(link.pending.values())) {
+            fail(pending, pending.sent ? PeerFailure.NO_ANSWER : PeerFailure.NOT_SENT);
+        }
+    }
+
+    private final class LinkListener implements PeerConnection.Listener {
+        private final Link link;
+
+        private LinkListener(Link link) {
+            this.link = link;
+        }
+
+        @Override
+        public void opened(PeerConnection connection) {
+            loop.execute(() -> openedOnLoop(link, connection));
+        }
+
+        @Override
+        public void received(PeerConnection connection, Frame frame) {
+            loop.execute(() -> {
+                Pending pending = frame.answer() ? link.pending.remove(frame.correlation()) : null;
+                if (pending != null) {
+                    pending.listener.answered(frame.message());
+                }
+            });
+        }
+
+        @Override
+        public void malformed(PeerConnection connection, FrameException problem) {
+            LOG.warn("connection to {} closed: {}", link.address, problem.getMessage());
+        }
+
+        @Override
+        public void closed(PeerConnection connection) {
+            loop.execute(() -> broken(link));
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/peer/PeerMessage.java
@@ -0,0 +1,6 @@
+package org.anvillatch.node.peer;
+
+/**
+ * A message between two hosts. Implementations are immutable.
+ */
+public interface PeerMessage {}
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/peer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Framed TCP with MessagePack between hosts.
+ */
+package org.anvillatch.node.peer;
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/platform/HttpPlatformLog.java
@@ -0,0 +1,132 @@
+package org.anvillatch.node.platform;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.anvillatch.node.Service;
+import org.anvillatch.node.StartException;
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.client.transport.HttpClientTransportDynamic;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The platform's log over HTTP: {@code POST /streams/NAME/records} appends the body and answers 201; {@code GET
+ * /streams/NAME/records?from=N&limit=M} reads. Thread safe.
+ */
+public final class HttpPlatformLog implements PlatformLog, Service {
+    private static final Logger LOG = LoggerFactory.getLogger(HttpPlatformLog.class);
+    private static final long TIMEOUT_MILLIS = 1_000;
+    private static final int READ_LIMIT = 500;
+    private static final int LARGEST_ANSWER_BYTES = 32 * 1024 * 1024;
+    private static final int CREATED = 201;
+    private static final int OK = 200;
+    private static final int SERVICE_UNAVAILABLE = 503;
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final String address;
+    private final HttpClient client;
+
+    private record ReadAnswer(long first, long next, java.util.List<Entry> records) {}
+
+    /**
+     * Creates the client.
+     *
+     * @param address IP number and port of the log service
+     * @param executor runs callbacks
+     * @param scheduler runs timeouts
+     */
+    public HttpPlatformLog(String address, Executor executor, Scheduler scheduler) {
+        this.address = address;
+        ClientConnector connector = new ClientConnector();
+        connector.setSelectors(1);
+        connector.setExecutor(executor);
+        connector.setScheduler(scheduler);
+        client = new HttpClient(new HttpClientTransportDynamic(connector));
+        client.setExecutor(executor);
+        client.setScheduler(scheduler);
+        client.setConnectTimeout(TIMEOUT_MILLIS);
+    }
+
+    @Override
+    public void start() throws StartException {
+        try {
+            client.start();
+        } catch (Exception failure) {
+            throw new StartException("log client for " + address + ": " + failure.getMessage(), failure);
+        }
+    }
+
+    @Override
+    public void stop() {
+        try {
+            client.stop();
+        } catch (Exception failure) {
+            LOG.warn("log client did not stop cleanly", failure);
+        }
+    }
+
+    @Override
+    public void append(String stream, byte[] value, Consumer<AppendResult> listener) {
+        client.newRequest(url(stream))
+                .method(HttpMethod.POST)
+                .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .body(new BytesRequestContent("application/octet-stream", value))
+                .send(new BufferingResponseListener() {
+                    @Override
+                    public void onComplete(Result result) {
+                        listener.accept(appendResult(result));
+                    }
+                });
+    }
+
+    private static AppendResult appendResult(Result result) {
+        if (result.isFailed()) {
+            boolean neverSent = result.getFailure() instanceof ConnectException;
+            return neverSent ? AppendResult.NOT_APPENDED : AppendResult.UNKNOWN;
+        }
+        int status = result.getResponse().getStatus();
+        if (status == CREATED) {
+            return AppendResult.APPENDED;
+        }
+        return status == SERVICE_UNAVAILABLE ? AppendResult.NOT_APPENDED : AppendResult.UNKNOWN;
+    }
+
+    @Override
+    public void read(String stream, long fromOffset, Consumer<ReadResult> listener) {
+        client.newRequest(url(stream) + "?from=" + fromOffset + "&limit=" + READ_LIMIT)
+                .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .send(new BufferingResponseListener(LARGEST_ANSWER_BYTES) {
+                    @Override
+                    public void onComplete(Result result) {
+                        boolean usable =
+                                result.isSucceeded() && result.getResponse().getStatus() == OK;
+                        listener.accept(usable ? parse(getContent()) : ReadResult.UNAVAILABLE);
+                    }
+                });
+    }
+
+    private ReadResult parse(byte[] content) {
+        try {
+            ReadAnswer answer = MAPPER.readValue(content, ReadAnswer.class);
+            return new ReadResult(true, answer.first(), answer.next(), answer.records());
+        } catch (IOException malformed) {
+            LOG.warn("answer of the log service at {} is malformed: {}", address, malformed.getMessage());
+            return ReadResult.UNAVAILABLE;
+        }
+    }
+
+    private String url(String stream) {
+        return "http://" + address + "/streams/" + stream + "/records";
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/platform/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The platform's log service.
+ */
+package org.anvillatch.node.platform;
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/settings/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Flags and environment variables of the node.
+ */
+package org.anvillatch.node.settings;
--- /dev/null
+++ b/operator/src/main/java/org/anvillatch/operator/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The operators' command line.
+ */
+package org.anvillatch.operator;
--- /dev/null
+++ b/testbed/src/main/java/org/anvillatch/testbed/demo/CallersMain.java
@@ -0,0 +1,72 @@
+package org.anvillatch.testbed.demo;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.anvillatch.testbed.history.History;
+import org.anvillatch.testbed.load.Callers;
+import org.anvillatch.testbed.load.HttpSender;
+import org.anvillatch.testbed.load.NodeTarget;
+import org.anvillatch.testbed.site.SiteSpec;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+
+/**
+ * Stand-in callers as a process of its own. Stateless.
+ */
+public final class CallersMain {
+    private static final int CONNECTIONS = 200;
+    private static final int THREADS = 32;
+    private static final int RESENDS = 2;
+    private static final long RESEND_MILLIS = 100;
+    private static final int PROGRESS_EVERY = 500;
+
+    private CallersMain() {}
+
+    /**
+     * Sends requests for a while.
+     *
+     * @param arguments name of the site, seconds, requests a second, seed, addresses joined by commas, history file
+     * @return exit status
+     * @throws Exception if the callers cannot start
+     */
+    public static int run(String[] arguments) throws Exception {
+        SiteSpec spec = SiteSpec.named(arguments[0]);
+        double seconds = Double.parseDouble(arguments[1]);
+        double rate = Double.parseDouble(arguments[2]);
+        long seed = Long.parseLong(arguments[3]);
+        List<String> addresses = List.of(arguments[4].split(","));
+        QueuedThreadPool threads = new QueuedThreadPool(THREADS);
+        ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler();
+        ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
+        threads.start();
+        scheduler.start();
+        try (History history = new History(Path.of(arguments[5]));
+                HttpSender sender = new HttpSender(threads, scheduler, CONNECTIONS)) {
+            AtomicInteger ended = new AtomicInteger();
+            AtomicInteger whole = new AtomicInteger();
+            Callers callers = new Callers(
+                    spec,
+                    sender,
+                    new NodeTarget(() -> addresses),
+                    timer,
+                    history,
+                    new Callers.Behaviour("demo", seed, RESENDS, RESEND_MILLIS),
+                    ending -> {
+                        whole.addAndGet(ending.whole() ? 1 : 0);
+                        if (ended.incrementAndGet() % PROGRESS_EVERY == 0) {
+                            System.out.println(ended + " requests ended, " + whole + " whole");
+                        }
+                    });
+            callers.run(seconds, at -> rate);
+        } finally {
+            timer.shutdownNow();
+            threads.stop();
+            scheduler.stop();
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/anvillatch/testbed/demo/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The demonstration of the whole path.
+ */
+package org.anvillatch.testbed.demo;
--- /dev/null
+++ b/testbed/src/main/java/org/anvillatch/testbed/endpoint/EndpointAgent.java
@@ -0,0 +1,154 @@
+package org.anvillatch.testbed.endpoint;
+
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.anvillatch.node.endpoint.EndpointAnnouncement;
+import org.anvillatch.node.endpoint.EndpointHandler;
+import org.anvillatch.testbed.history.History;
+import org.anvillatch.testbed.history.HistoryEvent;
+import org.anvillatch.testbed.history.HistoryEvent.Kind;
+import org.eclipse.jetty.client.CompletableResponseListener;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.StringRequestContent;
+import org.eclipse.jetty.http.HttpMethod;
+
+/**
+ * Announces a stand-in endpoint to the node of its host, sends heartbeats and takes it out again. Thread safe.
+ */
+public final class EndpointAgent {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final long HEARTBEAT_MILLIS = 300;
+    private static final long TIMEOUT_MILLIS = 1_000;
+    private static final int OK = 200;
+
+    private final EndpointStandIn endpoint;
+    private final String nodeUrl;
+    private final HttpClient client;
+    private final ScheduledExecutorService timer;
+    private final History history;
+    private volatile double lie = 1;
+    private volatile boolean announced;
+    private volatile boolean leaving;
+    private int instance;
+    private Future<?> heartbeat;
+
+    /**
+     * Creates an agent.
+     *
+     * @param endpoint the endpoint
+     * @param nodeAddress where its node takes announcements
+     * @param client sends by HTTP
+     * @param timer runs heartbeats
+     * @param history receives announcements and departures
+     */
+    public EndpointAgent(
+            EndpointStandIn endpoint,
+            String nodeAddress,
+            HttpClient client,
+            ScheduledExecutorService timer,
+            History history) {
+        this.endpoint = endpoint;
+        this.nodeUrl = "http://" + nodeAddress + "/v1/endpoint";
+        this.client = client;
+        this.timer = timer;
+        this.history = history;
+    }
+
+    /** Starts announcing; repeats until the node has taken the announcement. */
+    public synchronized void start() {
+        instance++;
+        announced = false;
+        leaving = false;
+        history.add(HistoryEvent.life(
+                History.nowMicros(),
+                Kind.ANNOUNCE,
+                endpoint.name(),
+                endpoint.service().name()));
+        if (heartbeat == null) {
+            heartbeat = timer.scheduleWithFixedDelay(this::beat, 0, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /**
+     * Makes announcements and load reports wrong.
+     *
+     * @param factor factor on the announced slots; reported load is always zero if it is not 1
+     */
+    public void setLie(double factor) {
+        lie = factor;
+    }
+
+    private void beat() {
+        if (leaving || endpoint.isCrashed()) {
+            return;
+        }
+        if (announced) {
+            int running = lie == 1 ? endpoint.running() : 0;
+            send(HttpMethod.POST, new EndpointHandler.Heartbeat(instanceName(), running));
+        } else {
+            int slots = Math.max(1, (int) (endpoint.service().slots() * lie));
+            send(
+                    HttpMethod.PUT,
+                    new EndpointAnnouncement(
+                            endpoint.service().name(),
+                            endpoint.address(),
+                            slots,
+                            endpoint.service().connections(),
+                            instanceName()));
+        }
+    }
+
+    private String instanceName() {
+        return endpoint.name() + "-" + instance;
+    }
+
+    private void send(HttpMethod method, Object body) {
+        try {
+            request(method, MAPPER.writeValueAsString(body)).whenComplete((status, failure) -> {
+                // A node that was replaced does not know the endpoint any more.
+                announced = failure == null && status == OK;
+            });
+        } catch (JsonProcessingException failure) {
+            throw new IllegalStateException("announcement cannot be written as JSON", failure);
+        }
+    }
+
+    private java.util.concurrent.CompletableFuture<Integer> request(HttpMethod method, String body) {
+        return new CompletableResponseListener(client.newRequest(nodeUrl)
+                        .method(method)
+                        .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                        .body(new StringRequestContent("application/json", body)))
+                .send()
+                .thenApply(response -> response.getStatus());
+    }
+
+    /**
+     * Says that the endpoint leaves.
+     *
+     * @return completes with the node's status
+     */
+    public java.util.concurrent.CompletableFuture<Integer> leave() {
+        leaving = true;
+        return request(HttpMethod.DELETE, "").whenComplete((status, failure) -> {
+            if (failure == null) {
+                history.add(HistoryEvent.life(
+                        History.nowMicros(),
+                        Kind.LEAVE,
+                        endpoint.name(),
+                        endpoint.service().name()));
+            }
+        });
+    }
+
+    /** Stops heartbeats. */
+    public synchronized void stop() {
+        if (heartbeat != null) {
+            heartbeat.cancel(false);
+            heartbeat = null;
+        }
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/anvillatch/testbed/endpoint/EndpointStandIn.java
@@ -0,0 +1,389 @@
+package org.anvillatch.testbed.endpoint;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.anvillatch.node.endpoint.CallHeaders;
+import org.anvillatch.testbed.history.History;
+import org.anvillatch.testbed.history.HistoryEvent;
+import org.anvillatch.testbed.history.HistoryEvent.Kind;
+import org.anvillatch.testbed.load.HttpSender;
+import org.anvillatch.testbed.site.OperationSpec;
+import org.anvillatch.testbed.site.ServiceSpec;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * Stand-in endpoint: runs a bounded number of executions at a time, queues the rest in order of arrival, makes nested
+ * calls, records what it runs, and can be slowed down or crashed. Thread safe.
+ */
+public final class EndpointStandIn {
+    /** Prefix of bodies that crash the endpoint which runs them. */
+    public static final String POISON = "poison";
+
+    private static final int SERVICE_UNAVAILABLE = 503;
+    private static final int BAD_GATEWAY = 502;
+    private static final int NOT_FOUND = 404;
+    private static final int LARGEST_BODY_BYTES = 2 * 1024 * 1024;
+    private static final long MICROS_PER_MILLI = 1_000;
+
+    private final String name;
+    private final ServiceSpec service;
+    private final EndpointContext context;
+    private final Deque<Job> queue = new ArrayDeque<>();
+    private final AtomicLong nextDirectExecution = new AtomicLong();
+    private Server server;
+    private ServerConnector connector;
+    private int running;
+    private int port;
+    private volatile double slowdown = 1;
+    private volatile long coldUntilMicros;
+    private volatile boolean crashed;
+
+    /**
+     * What stand-in endpoints of one process share.
+     *
+     * @param threads runs HTTP
+     * @param scheduler runs HTTP timeouts
+     * @param timer runs service times
+     * @param history receives what is run
+     * @param nested makes nested calls
+     */
+    public record EndpointContext(
+            QueuedThreadPool threads,
+            Scheduler scheduler,
+            ScheduledExecutorService timer,
+            History history,
+            NestedCalls nested) {}
+
+    private record Job(
+            Request request,
+            Response response,
+            Callback callback,
+            OperationSpec operation,
+            byte[] body,
+            long arrivedMicros) {}
+
+    /**
+     * Creates an endpoint that does not listen yet.
+     *
+     * @param name name of the endpoint, that of its host
+     * @param service its service
+     * @param context what endpoints share
+     */
+    public EndpointStandIn(String name, ServiceSpec service, EndpointContext context) {
+        this.name = name;
+        this.service = service;
+        this.context = context;
+    }
+
+    /**
+     * Listens, on the same port again after a crash.
+     *
+     * @throws Exception if it cannot listen
+     */
+    public synchronized void start() throws Exception {
+        crashed = false;
+        running = 0;
+        queue.clear();
+        server = new Server(context.threads(), context.scheduler(), null);
+        connector = new ServerConnector(server, 1, 1);
+        connector.setHost("127.0.0.1");
+        connector.setPort(port);
+        server.addConnector(connector);
+        server.setHandler(new CallsHandler());
+        server.start();
+        port = connector.getLocalPort();
+    }
+
+    /** Breaks all connections and stops listening, as a killed process would. */
+    public void crash() {
+        ServerConnector open;
+        synchronized (this) {
+            if (crashed) {
+                return;
+            }
+            crashed = true;
+            open = connector;
+        }
+        record(HistoryEvent.life(History.nowMicros(), Kind.CRASH, name, service.name()));
+        open.close();
+        open.getConnectedEndPoints().forEach(org.eclipse.jetty.io.EndPoint::close);
+        context.timer().execute(this::stopServer);
+    }
+
+    /** Stops listening. */
+    public void stop() {
+        stopServer();
+    }
+
+    private synchronized void stopServer() {
+        try {
+            server.stop();
+        } catch (Exception failure) {
+            throw new IllegalStateException("endpoint " + name + " does not stop", failure);
+        }
+    }
+
+    /**
+     * Changes the speed.
+     *
+     * @param factor factor on service times
+     */
+    public void setSlowdown(double factor) {
+        slowdown = factor;
+    }
+
+    /**
+     * Makes the endpoint slow for a while, as after a start.
+     *
+     * @param millis how long
+     */
+    public void beCold(long millis) {
+        coldUntilMicros = History.nowMicros() + millis * MICROS_PER_MILLI;
+    }
+
+    /**
+     * Returns the name of the endpoint.
+     *
+     * @return that of its host
+     */
+    public String name() {
+        return name;
+    }
+
+    /**
+     * Returns the service of the endpoint.
+     *
+     * @return its specification
+     */
+    public ServiceSpec service() {
+        return service;
+    }
+
+    /**
+     * Returns where it listens.
+     *
+     * @return IP number and port
+     */
+    public String address() {
+        return "127.0.0.1:" + port;
+    }
+
+    /**
+     * Returns whether it has crashed and not started again.
+     *
+     * @return true after a crash
+     */
+    public boolean isCrashed() {
+        return crashed;
+    }
+
+    /**
+     * Returns the executions that run.
+     *
+     * @return at most the slots
+     */
+    public synchronized int running() {
+        return running;
+    }
+
+    private void record(HistoryEvent event) {
+        context.history().add(event);
+    }
+
+    private final class CallsHandler extends Handler.Abstract.NonBlocking {
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) {
+            OperationSpec operation =
+                    service.operation(Request.getPathInContext(request).substring(1));
+            if (operation == null) {
+                Response.writeError(request, response, callback, NOT_FOUND);
+                return true;
+            }
+            Content.Source.asByteArrayAsync(request, LARGEST_BODY_BYTES).whenComplete((body, failure) -> {
+                if (failure != null) {
+                    callback.failed(failure);
+                } else {
+                    offer(new Job(request, response, callback, operation, body, History.nowMicros()));
+                }
+            });
+            return true;
+        }
+    }
+
+    private void offer(Job job) {
+        synchronized (this) {
+            if (running + queue.size() >= service.connections()) {
+                context.timer().execute(() -> reject(job));
+                return;
+            }
+            if (running >= service.slots()) {
+                queue.add(job);
+                return;
+            }
+            running++;
+        }
+        run(job);
+    }
+
+    private static void reject(Job job) {
+        job.response().getHeaders().put(CallHeaders.OUTCOME, CallHeaders.NOT_RUN);
+        job.response().setStatus(SERVICE_UNAVAILABLE);
+        job.callback().succeeded();
+    }
+
+    private void free() {
+        Job next;
+        synchronized (this) {
+            next = queue.poll();
+            if (next == null) {
+                running--;
+                return;
+            }
+        }
+        run(next);
+    }
+
+    private static String header(Job job, String header, String absent) {
+        String value = job.request().getHeaders().get(header);
+        return value == null ? absent : value;
+    }
+
+    private void run(Job job) {
+        long now = History.nowMicros();
+        long timeout = Long.parseLong(header(job, CallHeaders.TIMEOUT, "0"));
+        if (timeout > 0 && now - job.arrivedMicros() > timeout * MICROS_PER_MILLI) {
+            reject(job);
+            free();
+            return;
+        }
+        String direct = name + "/" + nextDirectExecution.incrementAndGet();
+        Execution execution = new Execution(job, header(job, CallHeaders.CONTEXT, direct));
+        execution.record(Kind.START, job.operation().idempotent() ? null : effectOf(job));
+        if (new String(job.body(), StandardCharsets.UTF_8).startsWith(POISON)) {
+            crash();
+            return;
+        }
+        boolean cold = now < coldUntilMicros;
+        double factor = cold ? slowdown * 4 : slowdown;
+        long delayMicros = (long) (job.operation().serviceMillis() * MICROS_PER_MILLI * factor);
+        context.timer().schedule(execution::callNested, delayMicros, TimeUnit.MICROSECONDS);
+    }
+
+    private String effectOf(Job job) {
+        return service.name() + "/" + job.operation().name() + " " + new String(job.body(), StandardCharsets.UTF_8);
+    }
+
+    /** One execution: own work, then nested calls in parallel, then the answer. */
+    private final class Execution {
+        private final Job job;
+        private final String id;
+        private final String root;
+        private final int attempt;
+        private final AtomicInteger open;
+        private final AtomicInteger broken = new AtomicInteger();
+
+        private Execution(Job job, String id) {
+            this.job = job;
+            this.id = id;
+            this.root = header(job, CallHeaders.REQUEST_ID, "none");
+            this.attempt = Integer.parseInt(header(job, CallHeaders.ATTEMPT, "0"));
+            this.open = new AtomicInteger(job.operation().nested().size());
+        }
+
+        private void record(Kind kind, String effect) {
+            EndpointStandIn.this.record(new HistoryEvent(
+                    History.nowMicros(),
+                    kind,
+                    name,
+                    root,
+                    attempt,
+                    header(job, CallHeaders.CALL_PATH, root),
+                    id,
+                    service.name() + "/" + job.operation().name(),
+                    RootRequests.importanceOf(root),
+                    null,
+                    null,
+                    effect,
+                    true));
+        }
+
+        private void callNested() {
+            List<String> nested = job.operation().nested();
+            if (nested.isEmpty()) {
+                answer();
+                return;
+            }
+            for (int number = 0; number < nested.size(); number++) {
+                callOne(nested.get(number), number);
+            }
+        }
+
+        private void callOne(String operation, int number) {
+            String own = new String(job.body(), StandardCharsets.UTF_8);
+            byte[] body = (own + "/" + number).getBytes(StandardCharsets.UTF_8);
+            NestedCalls.Nested call =
+                    new NestedCalls.Nested(EndpointStandIn.this, id, number, root, attempt, operation, body);
+            context.nested().send(call, answer -> nestedEnded(operation, number, body, answer));
+        }
+
+        private void nestedEnded(String operation, int number, byte[] body, HttpSender.Answer answer) {
+            boolean complete = answer.outcome().equals("complete");
+            boolean intact = !complete || ExpectedAnswer.matches(operation, body, answer.body());
+            EndpointStandIn.this.record(new HistoryEvent(
+                    History.nowMicros(),
+                    Kind.ANSWER,
+                    name,
+                    root,
+                    attempt,
+                    id + ":" + number,
+                    null,
+                    operation,
+                    RootRequests.importanceOf(root),
+                    answer.outcome(),
+                    answer.reason(),
+                    null,
+                    intact));
+            if (!complete) {
+                broken.incrementAndGet();
+            }
+            if (open.decrementAndGet() == 0) {
+                answer();
+            }
+        }
+
+        private void answer() {
+            if (crashed) {
+                return;
+            }
+            record(Kind.END, null);
+            String operation = service.name() + "/" + job.operation().name();
+            job.response().getHeaders().put(CallHeaders.CONTEXT, id);
+            if (broken.get() > 0) {
+                job.response().setStatus(BAD_GATEWAY);
+                job.callback().succeeded();
+            } else {
+                byte[] bytes = ExpectedAnswer.of(operation, job.body());
+                job.response().getHeaders().put(HttpHeader.CONTENT_LENGTH, bytes.length);
+                job.response().write(true, ByteBuffer.wrap(bytes), job.callback());
+            }
+            free();
+        }
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/anvillatch/testbed/endpoint/NodeNestedCalls.java
@@ -0,0 +1,49 @@
+package org.anvillatch.testbed.endpoint;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.anvillatch.node.endpoint.CallHeaders;
+import org.anvillatch.testbed.load.HttpSender;
+
+/**
+ * Nested calls through the node of the endpoint's host. Thread safe.
+ */
+public final class NodeNestedCalls implements NestedCalls {
+    private static final long TIMEOUT_MILLIS = 10_000;
+
+    private final HttpSender sender;
+    private final Map<String, String> nodeAddresses = new ConcurrentHashMap<>();
+
+    /**
+     * Creates nested calls.
+     *
+     * @param sender sends by HTTP
+     */
+    public NodeNestedCalls(HttpSender sender) {
+        this.sender = sender;
+    }
+
+    /**
+     * Names the node of a host.
+     *
+     * @param endpoint name of the endpoint
+     * @param address where its node takes nested calls
+     */
+    public void setNode(String endpoint, String address) {
+        nodeAddresses.put(endpoint, address);
+    }
+
+    @Override
+    public void send(Nested nested, HttpSender.AnswerListener listener) {
+        String address = nodeAddresses.get(nested.endpoint().name());
+        Map<String, String> headers = Map.of(
+                CallHeaders.CONTEXT, nested.context(), CallHeaders.CALL_NUMBER, Integer.toString(nested.number()));
+        sender.post(
+                "http://" + address + "/v1/call/" + nested.operation(),
+                headers,
+                nested.body(),
+                TIMEOUT_MILLIS,
+                listener);
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/anvillatch/testbed/endpoint/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Stand-in endpoints with slots, service times, nested calls and faults.
+ */
+package org.anvillatch.testbed.endpoint;
--- /dev/null
+++ b/testbed/src/main/java/org/anvillatch/testbed/experiment/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Experiments and their measurements.
+ */
+package org.anvillatch.testbed.experiment;
--- /dev/null
+++ b/testbed/src/main/java/org/anvillatch/testbed/load/Callers.java
@@ -0,0 +1,296 @@
+package org.anvillatch.testbed.load;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.Phaser;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.DoubleUnaryOperator;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.anvillatch.node.endpoint.CallHeaders;
+import org.anvillatch.testbed.endpoint.ExpectedAnswer;
+import org.anvillatch.testbed.endpoint.RootRequests;
+import org.anvillatch.testbed.history.History;
+import org.anvillatch.testbed.history.HistoryEvent;
+import org.anvillatch.testbed.history.HistoryEvent.Kind;
+import org.anvillatch.testbed.site.OperationSpec;
+import org.anvillatch.testbed.site.SiteSpec;
+
+/**
+ * Open-loop callers: root requests arrive at random times that do not depend on answers, and are sent again by impatient
+ * callers. Thread safe.
+ */
+public final class Callers {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final double MICROS_PER_SECOND = 1e6;
+    private static final long KEY_TIMEOUT_MILLIS = 1_000;
+
+    private record Keys(List<String> keys) {}
+
+    /**
+     * How callers behave.
+     *
+     * @param run name of the run, part of every request's identity
+     * @param seed seed of arrivals and choices
+     * @param resends how often a caller sends a request again
+     * @param resendMillis pause before a re-send
+     */
+    public record Behaviour(String run, long seed, int resends, long resendMillis) {}
+
+    /**
+     * How one root request ended.
+     *
+     * @param kind its kind
+     * @param importance position of its importance
+     * @param arrivedMicros when it was meant to be sent
+     * @param endedMicros when the last answer came
+     * @param outcome outcome of the last answer
+     * @param whole whether the answer was complete and intact
+     * @param attempts how often it was sent
+     * @param firstAnswerMicros duration of the first attempt
+     */
+    public record Ending(
+            SiteSpec.RequestKind kind,
+            int importance,
+            long arrivedMicros,
+            long endedMicros,
+            String outcome,
+            boolean whole,
+            int attempts,
+            long firstAnswerMicros) {}
+
+    private final SiteSpec spec;
+    private final HttpSender sender;
+    private final CallTarget target;
+    private final ScheduledExecutorService timer;
+    private final History history;
+    private final Behaviour behaviour;
+    private final Consumer<Ending> listener;
+    private final Phaser open = new Phaser(1);
+    private final AtomicLong nextNumber = new AtomicLong();
+
+    /**
+     * Creates callers.
+     *
+     * @param spec the site
+     * @param sender sends by HTTP
+     * @param target where requests go
+     * @param timer runs arrivals
+     * @param history receives what callers see
+     * @param behaviour how callers behave
+     * @param listener receives every ending
+     */
+    public Callers(
+            SiteSpec spec,
+            HttpSender sender,
+            CallTarget target,
+            ScheduledExecutorService timer,
+            History history,
+            Behaviour behaviour,
+            Consumer<Ending> listener) {
+        this.spec = spec;
+        this.sender = sender;
+        this.target = target;
+        this.timer = timer;
+        this.history = history;
+        this.behaviour = behaviour;
+        this.listener = listener;
+    }
+
+    /**
+     * Sends requests for a while and waits until all have ended.
+     *
+     * @param seconds how long requests arrive
+     * @param rate arrivals a second at a given second
+     * @throws InterruptedException if the wait is interrupted
+     */
+    public void run(double seconds, DoubleUnaryOperator rate) throws InterruptedException {
+        SplittableRandom random = new SplittableRandom(behaviour.seed());
+        long start = History.nowMicros();
+        double at = 0;
+        while (at < seconds) {
+            at += -Math.log(1 - random.nextDouble()) / rate.applyAsDouble(at);
+            long due = start + (long) (at * MICROS_PER_SECOND);
+            sleepUntil(due);
+            startRoot(kindFor(random.nextDouble()), due, random.split());
+        }
+        open.arriveAndAwaitAdvance();
+    }
+
+    private static void sleepUntil(long dueMicros) throws InterruptedException {
+        long left = dueMicros - History.nowMicros();
+        if (left > 0) {
+            TimeUnit.MICROSECONDS.sleep(left);
+        }
+    }
+
+    private SiteSpec.RequestKind kindFor(double draw) {
+        double sum = 0;
+        for (SiteSpec.RequestKind kind : spec.kinds()) {
+            sum += kind.share();
+            if (draw < sum) {
+                return kind;
+            }
+        }
+        return spec.kinds().get(spec.kinds().size() - 1);
+    }
+
+    private void startRoot(SiteSpec.RequestKind kind, long due, SplittableRandom random) {
+        OperationSpec operation = spec.operation(kind.operation());
+        int importance = spec.importances().indexOf(operation.importance());
+        String id = RootRequests.name(importance, behaviour.run(), nextNumber.incrementAndGet());
+        send(new Root(kind, operation, importance, id, id.getBytes(StandardCharsets.UTF_8), due, random));
+    }
+
+    /**
+     * Sends one request with a body of the caller's choice.
+     *
+     * @param kind its kind
+     * @param body the bytes
+     * @param seed seed of the choices
+     */
+    public void sendOne(SiteSpec.RequestKind kind, byte[] body, long seed) {
+        OperationSpec operation = spec.operation(kind.operation());
+        int importance = spec.importances().indexOf(operation.importance());
+        String id = RootRequests.name(importance, behaviour.run(), nextNumber.incrementAndGet());
+        send(new Root(kind, operation, importance, id, body, History.nowMicros(), new SplittableRandom(seed)));
+    }
+
+    private void send(Root root) {
+        open.register();
+        if (root.operation.idempotent() || target.keyUrl(root.random) == null) {
+            root.attempt();
+        } else {
+            fetchKey(root);
+        }
+    }
+
+    /** Waits until every request that was sent has ended. */
+    public void awaitEnd() {
+        open.arriveAndAwaitAdvance();
+    }
+
+    private void fetchKey(Root root) {
+        sender.post(target.keyUrl(root.random), Map.of(), new byte[0], KEY_TIMEOUT_MILLIS, answer -> {
+            try {
+                root.key = answer.status() == 201
+                        ? MAPPER.readValue(answer.body(), Keys.class).keys().get(0)
+                        : "";
+            } catch (IOException malformed) {
+                root.key = "";
+            }
+            if (root.key.isEmpty()) {
+                root.withoutKey();
+            } else {
+                root.attempt();
+            }
+        });
+    }
+
+    /** One root request. Its callbacks run one after the other. */
+    private final class Root {
+        private final SiteSpec.RequestKind kind;
+        private final OperationSpec operation;
+        private final int importance;
+        private final String id;
+        private final byte[] body;
+        private final long dueMicros;
+        private final SplittableRandom random;
+        private String key = "";
+        private int attempt;
+        private int keyFetches;
+        private long firstAnswerMicros;
+
+        private Root(
+                SiteSpec.RequestKind kind,
+                OperationSpec operation,
+                int importance,
+                String id,
+                byte[] body,
+                long dueMicros,
+                SplittableRandom random) {
+            this.kind = kind;
+            this.operation = operation;
+            this.importance = importance;
+            this.id = id;
+            this.body = body;
+            this.dueMicros = dueMicros;
+            this.random = random;
+        }
+
+        private void withoutKey() {
+            if (keyFetches++ < behaviour.resends()) {
+                timer.schedule(() -> fetchKey(this), behaviour.resendMillis(), TimeUnit.MILLISECONDS);
+            } else {
+                end("not-run", false);
+            }
+        }
+
+        private void attempt() {
+            Map<String, String> headers = new HashMap<>();
+            headers.put(CallHeaders.REQUEST_ID, id);
+            headers.put(CallHeaders.ATTEMPT, Integer.toString(attempt));
+            if (!key.isEmpty()) {
+                headers.put(CallHeaders.IDEMPOTENCY_KEY, key);
+            }
+            record(Kind.INVOKE, null, null, true);
+            long sent = History.nowMicros();
+            long timeout = operation.deadlineMillis() + operation.deadlineMillis() / 10;
+            sender.post(target.url(kind.operation(), random), headers, body, timeout, answer -> {
+                if (attempt == 0) {
+                    firstAnswerMicros = History.nowMicros() - sent;
+                }
+                answered(answer);
+            });
+        }
+
+        private void answered(HttpSender.Answer answer) {
+            boolean complete = answer.outcome().equals("complete");
+            boolean intact = !complete || ExpectedAnswer.matches(kind.operation(), body, answer.body());
+            record(Kind.ANSWER, answer.outcome(), answer.reason(), intact);
+            if (!complete && attempt < behaviour.resends() && mayResend(answer)) {
+                attempt++;
+                long pause = behaviour.resendMillis() / 2 + random.nextLong(behaviour.resendMillis() + 1);
+                timer.schedule(this::attempt, pause, TimeUnit.MILLISECONDS);
+            } else {
+                end(answer.outcome(), complete && intact);
+            }
+        }
+
+        private boolean mayResend(HttpSender.Answer answer) {
+            boolean keyed = !key.isEmpty() || operation.idempotent() || target.keyUrl(random) == null;
+            boolean ended = answer.outcome().equals("duplicate") || "retry-budget".equals(answer.reason());
+            return keyed && !ended;
+        }
+
+        private void end(String outcome, boolean whole) {
+            listener.accept(new Ending(
+                    kind, importance, dueMicros, History.nowMicros(), outcome, whole, attempt + 1, firstAnswerMicros));
+            open.arriveAndDeregister();
+        }
+
+        private void record(Kind eventKind, String outcome, String reason, boolean intact) {
+            history.add(new HistoryEvent(
+                    History.nowMicros(),
+                    eventKind,
+                    "caller",
+                    id,
+                    attempt,
+                    id,
+                    null,
+                    kind.operation(),
+                    importance,
+                    outcome,
+                    reason,
+                    null,
+                    intact));
+        }
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/anvillatch/testbed/load/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Open-loop callers.
+ */
+package org.anvillatch.testbed.load;
--- /dev/null
+++ b/testbed/src/main/java/org/anvillatch/testbed/platform/LogStandIn.java
@@ -0,0 +1,201 @@
+package org.anvillatch.testbed.platform;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Fields;
+
+/**
+ * Stand-in of the platform's log service: append-only streams with offsets, bounded retention and outages. {@code POST
+ * /control?mode=MODE&retain=N} sets its behaviour. Thread safe.
+ */
+public final class LogStandIn implements AutoCloseable {
+    private static final int CREATED = 201;
+    private static final int SERVICE_UNAVAILABLE = 503;
+    private static final int LARGEST_RECORD_BYTES = 16 * 1024 * 1024;
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /** How the service behaves. */
+    public enum Mode {
+        /** It works. */
+        UP,
+        /** It refuses everything. */
+        DOWN,
+        /** It appends, but the answers of appends are lost. */
+        LOSES_ANSWERS
+    }
+
+    private record Entry(long offset, byte[] value) {}
+
+    private record ReadAnswer(long first, long next, List<Entry> records) {}
+
+    private record AppendAnswer(long offset) {}
+
+    private static final class Stream {
+        private final List<Entry> entries = new ArrayList<>();
+        private long next;
+    }
+
+    private final Server server = new Server();
+    private final ServerConnector connector = new ServerConnector(server, 1, 1);
+    private final Map<String, Stream> streams = new HashMap<>();
+    private Mode mode = Mode.UP;
+    private int retain = Integer.MAX_VALUE;
+
+    /**
+     * Starts the service.
+     *
+     * @param port port on the loopback address, 0 for a free one
+     * @throws Exception if it cannot listen
+     */
+    public LogStandIn(int port) throws Exception {
+        connector.setHost("127.0.0.1");
+        connector.setPort(port);
+        server.addConnector(connector);
+        server.setHandler(new LogHandler());
+        server.start();
+    }
+
+    /**
+     * Returns where it listens.
+     *
+     * @return IP number and port
+     */
+    public String address() {
+        return "127.0.0.1:" + connector.getLocalPort();
+    }
+
+    /**
+     * Sets the behaviour.
+     *
+     * @param newMode the behaviour
+     */
+    public synchronized void setMode(Mode newMode) {
+        mode = newMode;
+    }
+
+    /**
+     * Sets how many records a stream keeps.
+     *
+     * @param records records kept, the newest
+     */
+    public synchronized void setRetain(int records) {
+        retain = records;
+        streams.values().forEach(this::drop);
+    }
+
+    private void drop(Stream stream) {
+        while (stream.entries.size() > retain) {
+            stream.entries.remove(0);
+        }
+    }
+
+    /**
+     * Returns how many records were ever appended to a stream.
+     *
+     * @param name name of the stream
+     * @return offset of the next append
+     */
+    public synchronized long nextOffset(String name) {
+        return streams.containsKey(name) ? streams.get(name).next : 0;
+    }
+
+    private synchronized long append(String name, byte[] value) {
+        Stream stream = streams.computeIfAbsent(name, unused -> new Stream());
+        stream.entries.add(new Entry(stream.next, value));
+        drop(stream);
+        return stream.next++;
+    }
+
+    private synchronized ReadAnswer read(String name, long from, int limit) {
+        Stream stream = streams.computeIfAbsent(name, unused -> new Stream());
+        List<Entry> wanted = stream.entries.stream()
+                .filter(entry -> entry.offset() >= from)
+                .limit(limit)
+                .toList();
+        long first =
+                stream.entries.isEmpty() ? stream.next : stream.entries.get(0).offset();
+        return new ReadAnswer(first, stream.next, wanted);
+    }
+
+    private synchronized Mode mode() {
+        return mode;
+    }
+
+    @Override
+    public void close() throws Exception {
+        server.stop();
+    }
+
+    private final class LogHandler extends Handler.Abstract {
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) throws Exception {
+            String path = Request.getPathInContext(request);
+            Fields query = Request.extractQueryParameters(request);
+            if (path.equals("/control")) {
+                control(query);
+                callback.succeeded();
+            } else if (mode() == Mode.DOWN) {
+                response.setStatus(SERVICE_UNAVAILABLE);
+                callback.succeeded();
+            } else if (request.getMethod().equals("POST")) {
+                appendBody(path.split("/")[2], request, response, callback);
+            } else {
+                long from = Long.parseLong(query.getValue("from"));
+                int limit = Integer.parseInt(query.getValue("limit"));
+                write(response, read(path.split("/")[2], from, limit), callback);
+            }
+            return true;
+        }
+
+        private void control(Fields query) {
+            if (query.getValue("mode") != null) {
+                setMode(Mode.valueOf(query.getValue("mode")));
+            }
+            if (query.getValue("retain") != null) {
+                setRetain(Integer.parseInt(query.getValue("retain")));
+            }
+        }
+
+        private void appendBody(String stream, Request request, Response response, Callback callback) {
+            Content.Source.asByteArrayAsync(request, LARGEST_RECORD_BYTES).whenComplete((value, failure) -> {
+                if (failure != null) {
+                    callback.failed(failure);
+                    return;
+                }
+                long offset = append(stream, value);
+                if (mode() == Mode.LOSES_ANSWERS) {
+                    request.getConnectionMetaData()
+                            .getConnection()
+                            .getEndPoint()
+                            .close();
+                    callback.failed(new IllegalStateException("the answer is lost on purpose"));
+                    return;
+                }
+                response.setStatus(CREATED);
+                write(response, new AppendAnswer(offset), callback);
+            });
+        }
+
+        private static void write(Response response, Object value, Callback callback) {
+            try {
+                response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+                Content.Sink.write(response, true, MAPPER.writeValueAsString(value), callback);
+            } catch (JsonProcessingException failure) {
+                callback.failed(failure);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/anvillatch/testbed/proxy/FaultProxy.java
@@ -0,0 +1,198 @@
+package org.anvillatch.testbed.proxy;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * TCP proxy that injects faults between one listening address and one target. Thread safe.
+ */
+public final class FaultProxy implements AutoCloseable {
+    private static final int BUFFER_BYTES = 16 * 1024;
+    private static final int CONNECT_MILLIS = 1_000;
+
+    /** What the proxy does with bytes. */
+    public enum Fault {
+        /** Passes everything on. */
+        NONE,
+        /** Takes connections and passes nothing on, in either direction. */
+        CUT,
+        /** Passes requests on and drops answers. */
+        DROP_ANSWERS,
+        /** Holds everything until the fault changes. */
+        STALL,
+        /** Passes part of the next answer on, then closes the connection. */
+        TRUNCATE_ANSWERS,
+        /** Delays every buffer. */
+        DELAY
+    }
+
+    private final ServerSocket server;
+    private final InetSocketAddress target;
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    private final AtomicLong faults = new AtomicLong();
+    private volatile Fault fault = Fault.NONE;
+    private volatile long delayMillis;
+
+    /**
+     * Starts a proxy.
+     *
+     * @param port port to listen on at the loopback address, 0 for a free one
+     * @param targetPort port to pass connections on to
+     * @throws IOException if it cannot listen
+     */
+    public FaultProxy(int port, int targetPort) throws IOException {
+        server = new ServerSocket();
+        server.setReuseAddress(true);
+        server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+        target = new InetSocketAddress(InetAddress.getLoopbackAddress(), targetPort);
+        startThread(this::accept);
+    }
+
+    private static void startThread(Runnable task) {
+        Thread thread = new Thread(task, "proxy");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /**
+     * Returns the port that it listens on.
+     *
+     * @return port
+     */
+    public int port() {
+        return server.getLocalPort();
+    }
+
+    /**
+     * Sets the fault.
+     *
+     * @param newFault what to do with bytes from now on
+     * @param newDelayMillis delay of each buffer, for {@link Fault#DELAY}
+     */
+    public void set(Fault newFault, long newDelayMillis) {
+        synchronized (this) {
+            delayMillis = newDelayMillis;
+            fault = newFault;
+            notifyAll();
+        }
+    }
+
+    /**
+     * Returns how many buffers were changed, held or dropped.
+     *
+     * @return count since the start
+     */
+    public long faults() {
+        return faults.get();
+    }
+
+    private void accept() {
+        while (!server.isClosed()) {
+            try {
+                Socket client = server.accept();
+                sockets.add(client);
+                startThread(() -> connect(client));
+            } catch (IOException closed) {
+                return;
+            }
+        }
+    }
+
+    private void connect(Socket client) {
+        Socket upstream = new Socket();
+        try {
+            upstream.connect(target, CONNECT_MILLIS);
+            upstream.setTcpNoDelay(true);
+            client.setTcpNoDelay(true);
+            sockets.add(upstream);
+            startThread(() -> pump(client, upstream, false));
+            pump(upstream, client, true);
+        } catch (IOException unreachable) {
+            close(client);
+            close(upstream);
+        }
+    }
+
+    private void pump(Socket from, Socket to, boolean answers) {
+        byte[] buffer = new byte[BUFFER_BYTES];
+        try {
+            InputStream input = from.getInputStream();
+            OutputStream output = to.getOutputStream();
+            int length = input.read(buffer);
+            while (length >= 0 && pass(buffer, length, output, answers)) {
+                length = input.read(buffer);
+            }
+        } catch (IOException broken) {
+            // Either side has gone; both are closed below.
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+        close(from);
+        close(to);
+    }
+
+    private boolean pass(byte[] buffer, int length, OutputStream output, boolean answers)
+            throws IOException, InterruptedException {
+        awaitStallEnd();
+        Fault now = fault;
+        if (now != Fault.NONE) {
+            faults.incrementAndGet();
+        }
+        switch (now) {
+            case CUT -> {
+                return true;
+            }
+            case DROP_ANSWERS -> {
+                if (!answers) {
+                    output.write(buffer, 0, length);
+                }
+                return true;
+            }
+            case TRUNCATE_ANSWERS -> {
+                output.write(buffer, 0, answers ? length / 2 : length);
+                output.flush();
+                return !answers;
+            }
+            case DELAY -> Thread.sleep(delayMillis);
+            default -> {}
+        }
+        output.write(buffer, 0, length);
+        output.flush();
+        return true;
+    }
+
+    private void awaitStallEnd() throws InterruptedException {
+        synchronized (this) {
+            if (fault == Fault.STALL) {
+                faults.incrementAndGet();
+            }
+            while (fault == Fault.STALL) {
+                wait();
+            }
+        }
+    }
+
+    private void close(Socket socket) {
+        sockets.remove(socket);
+        try {
+            socket.close();
+        } catch (IOException alreadyClosed) {
+            // Nothing is left to release.
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        set(Fault.NONE, 0);
+        sockets.forEach(this::close);
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/anvillatch/testbed/proxy/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Fault-injecting TCP proxy.
+ */
+package org.anvillatch.testbed.proxy;
--- /dev/null
+++ b/testbed/src/main/java/org/anvillatch/testbed/site/JavaCommand.java
@@ -0,0 +1,56 @@
+package org.anvillatch.testbed.site;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Command lines of the processes of a site. Stateless and thread safe.
+ */
+public final class JavaCommand {
+    private static final List<String> SMALL = List.of(
+            "-Xmx64m",
+            "-Xss256k",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-XX:MaxMetaspaceSize=64m",
+            "-XX:ReservedCodeCacheSize=24m",
+            "-Xshare:auto");
+
+    private JavaCommand() {}
+
+    private static String java() {
+        return Path.of(System.getProperty("java.home"), "bin", "java").toString();
+    }
+
+    /**
+     * Starts a node with the flags of its launcher.
+     *
+     * @return the command without settings
+     */
+    public static List<String> node() {
+        return command(SMALL, "org.anvillatch.node.NodeMain");
+    }
+
+    /**
+     * Starts a part of the testbed.
+     *
+     * @param part name of the part
+     * @return the command without its arguments
+     */
+    public static List<String> testbed(String part) {
+        List<String> command = command(List.of("-Xmx512m"), "org.anvillatch.testbed.TestbedMain");
+        command.add(part);
+        return command;
+    }
+
+    private static List<String> command(List<String> flags, String mainClass) {
+        List<String> command = new ArrayList<>();
+        command.add(java());
+        command.addAll(flags);
+        command.add("-cp");
+        command.add(System.getProperty("java.class.path"));
+        command.add(mainClass);
+        return command;
+    }
+}
