--- /dev/null
+++ b/testbed/src/main/java/org/anvillatch/testbed/site/SiteRun.java
@@ -0,0 +1,352 @@
+package org.anvillatch.testbed.site;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.BooleanSupplier;
+
+import org.anvillatch.node.operator.CommandAnswer;
+import org.anvillatch.testbed.endpoint.EndpointAgent;
+import org.anvillatch.testbed.endpoint.EndpointStandIn;
+import org.anvillatch.testbed.endpoint.NodeNestedCalls;
+import org.anvillatch.testbed.history.History;
+import org.anvillatch.testbed.load.HttpSender;
+import org.anvillatch.testbed.platform.LogStandIn;
+import org.anvillatch.testbed.proxy.FaultProxy;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+
+/**
+ * A running site: every node is a process of its own; stand-in endpoints and the log service run in this process. Not
+ * thread safe.
+ */
+public final class SiteRun implements AutoCloseable {
+    /** Key of operators who may change the configuration. */
+    public static final String CHANGE_KEY = "testbed-change-key";
+
+    private static final int PORTS_PER_NODE = 4;
+    private static final int SEEDS = 3;
+    private static final long READY_MILLIS = 60_000;
+    private static final long POLL_MILLIS = 50;
+    private static final int MOST_THREADS = 200;
+    private static final int TIMER_THREADS = 4;
+    private static final int CALLER_CONNECTIONS = 600;
+
+    /**
+     * How a site is run.
+     *
+     * @param proxied whether peers connect through a fault-injecting proxy in front of each node
+     * @param directory where logs go
+     * @param nodeFlags further flags of every node
+     * @param externalLog address of a log service that runs elsewhere, empty for one in this process
+     */
+    public record Options(boolean proxied, Path directory, List<String> nodeFlags, String externalLog) {}
+
+    /**
+     * One host.
+     *
+     * @param name its name
+     * @param domain its failure domain
+     * @param node its node
+     * @param endpoint its endpoint
+     * @param agent announces the endpoint
+     * @param proxy in front of the node's peer port, null if there is none
+     */
+    public record Host(
+            String name,
+            String domain,
+            NodeProcess node,
+            EndpointStandIn endpoint,
+            EndpointAgent agent,
+            FaultProxy proxy) {}
+
+    private final SiteSpec spec;
+    private final Options options;
+    private final History history = new History();
+    private final QueuedThreadPool threads = new QueuedThreadPool(MOST_THREADS);
+    private final ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("scheduler", true);
+    private final ScheduledExecutorService timer;
+    private final Map<String, Host> hosts = new LinkedHashMap<>();
+    private LogStandIn log;
+    private HttpClient client;
+    private HttpSender sender;
+    private NodeNestedCalls nested;
+
+    /**
+     * Creates a site that does not run yet.
+     *
+     * @param spec the site
+     * @param options how it is run
+     */
+    public SiteRun(SiteSpec spec, Options options) {
+        this.spec = spec;
+        this.options = options;
+        this.timer = Executors.newScheduledThreadPool(TIMER_THREADS, task -> {
+            Thread thread = new Thread(task, "testbed-timer");
+            thread.setDaemon(true);
+            return thread;
+        });
+        threads.setDaemon(true);
+    }
+
+    /**
+     * Starts everything and waits until every node knows every endpoint and the site's intent is in force.
+     *
+     * @throws Exception if a part cannot be started
+     */
+    public void start() throws Exception {
+        Files.createDirectories(options.directory());
+        threads.start();
+        scheduler.start();
+        client = new HttpClient();
+        client.setExecutor(threads);
+        client.start();
+        if (options.externalLog().isEmpty()) {
+            log = new LogStandIn(0);
+        }
+        sender = new HttpSender(threads, scheduler, CALLER_CONNECTIONS);
+        nested = new NodeNestedCalls(sender);
+        createHosts();
+        for (Host host : hosts.values()) {
+            host.node().start();
+        }
+        for (Host host : hosts.values()) {
+            host.agent().start();
+        }
+        declareIntent();
+        await("every node to know every endpoint", this::isComplete);
+    }
+
+    private void createHosts() throws Exception {
+        int count = spec.services().stream().mapToInt(ServiceSpec::workers).sum();
+        List<Integer> free = freePorts(count * (PORTS_PER_NODE + 1));
+        List<String> seeds = new ArrayList<>();
+        int index = 0;
+        for (ServiceSpec service : spec.services()) {
+            for (int worker = 0; worker < service.workers(); worker++) {
+                String domain = spec.domains().get(worker % spec.domains().size());
+                createHost(service, worker, domain, free.subList(index, index + PORTS_PER_NODE + 1), seeds);
+                index += PORTS_PER_NODE + 1;
+            }
+        }
+    }
+
+    private void createHost(ServiceSpec service, int worker, String domain, List<Integer> free, List<String> seeds)
+            throws Exception {
+        String name = service.name() + "-" + worker;
+        NodeProcess.Ports ports = new NodeProcess.Ports(free.get(0), free.get(1), free.get(2), free.get(3));
+        FaultProxy proxy = options.proxied() ? new FaultProxy(free.get(4), ports.peer()) : null;
+        String reachable = "127.0.0.1:" + (proxy == null ? ports.peer() : proxy.port());
+        if (seeds.size() < SEEDS) {
+            seeds.add(reachable);
+        }
+        NodeProcess node = new NodeProcess(
+                new NodeProcess.Settings(
+                        name,
+                        domain,
+                        ports,
+                        proxy == null ? "" : reachable,
+                        List.copyOf(seeds),
+                        log == null ? options.externalLog() : log.address(),
+                        options.nodeFlags()),
+                options.directory());
+        EndpointStandIn endpoint = new EndpointStandIn(
+                name, service, new EndpointStandIn.EndpointContext(threads, scheduler, timer, history, nested));
+        endpoint.start();
+        nested.setNode(name, node.endpointAddress());
+        EndpointAgent agent = new EndpointAgent(endpoint, node.endpointAddress(), client, timer, history);
+        hosts.put(name, new Host(name, domain, node, endpoint, agent, proxy));
+    }
+
+    /**
+     * Finds free ports.
+     *
+     * @param count how many
+     * @return ports that were free a moment ago
+     * @throws IOException if there are not enough
+     */
+    public static List<Integer> freePorts(int count) throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        List<Integer> ports = new ArrayList<>();
+        try {
+            for (int index = 0; index < count; index++) {
+                ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                sockets.add(socket);
+                ports.add(socket.getLocalPort());
+            }
+        } finally {
+            for (ServerSocket socket : sockets) {
+                socket.close();
+            }
+        }
+        return ports;
+    }
+
+    private void declareIntent() throws IOException, InterruptedException {
+        String address = hosts.values().iterator().next().node().operatorAddress();
+        await("the site's intent to be accepted", () -> {
+            try {
+                CommandAnswer answer = operator().run(address, "testbed", spec.intent());
+                return answer.result() == CommandAnswer.Result.ACCEPTED;
+            } catch (IOException notYet) {
+                return false;
+            } catch (InterruptedException interrupted) {
+                Thread.currentThread().interrupt();
+                return false;
+            }
+        });
+    }
+
+    private boolean isComplete() {
+        for (Host host : hosts.values()) {
+            if (host.node().isAlive() && !knowsAll(host)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private boolean knowsAll(Host host) {
+        try {
+            CommandAnswer answer = operator().run(host.node().operatorAddress(), "testbed", "show hosts");
+            List<List<String>> rows = answer.tables().get(0).rows();
+            long serving = rows.stream().filter(row -> row.contains("serving")).count();
+            boolean sameMembers =
+                    rows.stream().allMatch(row -> row.get(row.size() - 1).equals(Integer.toString(hosts.size())));
+            boolean phases = rows.stream().allMatch(row -> row.get(4).equals("serving"));
+            boolean configured =
+                    rows.stream().noneMatch(row -> row.get(row.size() - 2).equals("-1"));
+            return serving == hosts.size() && sameMembers && phases && configured;
+        } catch (IOException notYet) {
+            return false;
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    /**
+     * Waits for a condition.
+     *
+     * @param what what is waited for, for the error message
+     * @param condition the condition
+     * @throws InterruptedException if the wait is interrupted
+     */
+    public static void await(String what, BooleanSupplier condition) throws InterruptedException {
+        long until = System.currentTimeMillis() + READY_MILLIS;
+        while (!condition.getAsBoolean()) {
+            if (System.currentTimeMillis() > until) {
+                throw new IllegalStateException("waited " + READY_MILLIS / 1_000 + " s in vain for " + what);
+            }
+            Thread.sleep(POLL_MILLIS);
+        }
+    }
+
+    /**
+     * Returns a client for operators.
+     *
+     * @return a client
+     */
+    public OperatorClient operator() {
+        return new OperatorClient(client);
+    }
+
+    /**
+     * Returns the hosts.
+     *
+     * @return hosts in order of creation
+     */
+    public List<Host> hosts() {
+        return List.copyOf(hosts.values());
+    }
+
+    /**
+     * Finds a host.
+     *
+     * @param name its name
+     * @return the host
+     */
+    public Host host(String name) {
+        return hosts.get(name);
+    }
+
+    /**
+     * Returns the history of endpoints and callers.
+     *
+     * @return the history
+     */
+    public History history() {
+        return history;
+    }
+
+    /**
+     * Returns the stand-in of the log service.
+     *
+     * @return the stand-in
+     */
+    public LogStandIn log() {
+        return log;
+    }
+
+    /**
+     * Returns the sender of callers.
+     *
+     * @return the sender
+     */
+    public HttpSender sender() {
+        return sender;
+    }
+
+    /**
+     * Returns the timer of callers.
+     *
+     * @return the timer
+     */
+    public ScheduledExecutorService timer() {
+        return timer;
+    }
+
+    /**
+     * Returns the site.
+     *
+     * @return its specification
+     */
+    public SiteSpec spec() {
+        return spec;
+    }
+
+    @Override
+    public void close() throws Exception {
+        for (Host host : hosts.values()) {
+            host.agent().stop();
+            host.node().destroy();
+            if (host.proxy() != null) {
+                host.proxy().close();
+            }
+        }
+        timer.shutdownNow();
+        for (Host host : hosts.values()) {
+            host.endpoint().stop();
+        }
+        if (sender != null) {
+            sender.close();
+        }
+        if (client != null) {
+            client.stop();
+        }
+        if (log != null) {
+            log.close();
+        }
+        threads.stop();
+        scheduler.stop();
+    }
+}
