--- a/testbed/src/main/java/org/anvillatch/testbed/TestbedMain.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/TestbedMain.java
@@ -5,6 +5,7 @@
 import org.anvillatch.testbed.demo.CallersMain;
 import org.anvillatch.testbed.demo.Demo;
 import org.anvillatch.testbed.demo.LogMain;
+import org.anvillatch.testbed.experiment.ExperimentMain;
 
 /**
  * Entry point of the testbed's processes. Stateless.
@@ -26,6 +27,7 @@
         int status =
                 switch (part) {
                     case "demo" -> Demo.run(rest);
+                    case "experiment" -> ExperimentMain.run(rest);
                     case "log" -> LogMain.run(rest);
                     case "callers" -> CallersMain.run(rest);
                     default -> unknown(part);
@@ -34,7 +36,7 @@
     }
 
     private static int unknown(String part) {
-        System.err.println("part \"" + part + "\" is none of: demo, log, callers");
+        System.err.println("part \"" + part + "\" is none of: demo, experiment, log, callers");
         return WRONG_ARGUMENTS;
     }
 }
--- a/testbed/src/main/java/org/anvillatch/testbed/demo/Demo.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/demo/Demo.java
@@ -67,7 +67,8 @@
         SiteSpec spec = SiteSpec.sicily();
         int logPort = SiteRun.freePorts(1).get(0);
         startPart("log", List.of(Integer.toString(logPort)));
-        SiteRun site = new SiteRun(spec, new SiteRun.Options(false, directory, List.of(), "127.0.0.1:" + logPort));
+        SiteRun site =
+                new SiteRun(spec, new SiteRun.Options(false, directory, List.of(), "127.0.0.1:" + logPort, null));
         Thread cleaner = new Thread(() -> stopAll(site), "cleaner");
         Runtime.getRuntime().addShutdownHook(cleaner);
         try {
--- a/testbed/src/main/java/org/anvillatch/testbed/endpoint/EndpointStandIn.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/endpoint/EndpointStandIn.java
@@ -194,6 +194,15 @@
         return crashed;
     }
 
+    /**
+     * Tells whether the port is free again after a crash.
+     *
+     * @return true once the endpoint no longer listens
+     */
+    public synchronized boolean isStopped() {
+        return server.isStopped();
+    }
+
     /**
      * Returns the executions that run.
      *
--- /dev/null
+++ b/testbed/src/main/java/org/anvillatch/testbed/experiment/Capacity.java
@@ -0,0 +1,61 @@
+package org.anvillatch.testbed.experiment;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import org.anvillatch.testbed.site.OperationSpec;
+import org.anvillatch.testbed.site.ServiceSpec;
+import org.anvillatch.testbed.site.SiteSpec;
+
+/**
+ * Capacity of a site, worked out from its slots, service times and mix of requests. Stateless and thread safe.
+ */
+final class Capacity {
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    /**
+     * The service that limits a site.
+     *
+     * @param service its name
+     * @param rootsPerSecond root requests of the site's mix that it can serve
+     * @param slots executions that it can run at a time
+     */
+    record Bottleneck(String service, double rootsPerSecond, int slots) {}
+
+    private Capacity() {}
+
+    static Bottleneck of(SiteSpec spec) {
+        Map<String, Double> slotMillisPerRoot = new LinkedHashMap<>();
+        for (SiteSpec.RequestKind kind : spec.kinds()) {
+            add(spec, kind.operation(), kind.share(), slotMillisPerRoot);
+        }
+        Bottleneck lowest = null;
+        for (Map.Entry<String, Double> entry : slotMillisPerRoot.entrySet()) {
+            ServiceSpec service = spec.service(entry.getKey());
+            int slots = service.workers() * service.slots();
+            double roots = slots * MILLIS_PER_SECOND / entry.getValue();
+            if (lowest == null || roots < lowest.rootsPerSecond()) {
+                lowest = new Bottleneck(service.name(), roots, slots);
+            }
+        }
+        return lowest;
+    }
+
+    private static void add(SiteSpec spec, String path, double share, Map<String, Double> slotMillis) {
+        String service = path.substring(0, path.indexOf('/'));
+        slotMillis.merge(service, share * holdMillis(spec, path), Double::sum);
+        for (String nested : spec.operation(path).nested()) {
+            add(spec, nested, share, slotMillis);
+        }
+    }
+
+    /** An execution holds its slot for its own work and its slowest nested call. */
+    private static double holdMillis(SiteSpec spec, String path) {
+        OperationSpec operation = spec.operation(path);
+        double slowest = 0;
+        for (String nested : operation.nested()) {
+            slowest = Math.max(slowest, holdMillis(spec, nested));
+        }
+        return operation.serviceMillis() + slowest;
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/anvillatch/testbed/experiment/ExperimentPlan.java
@@ -0,0 +1,138 @@
+package org.anvillatch.testbed.experiment;
+
+import java.util.List;
+import java.util.function.DoubleUnaryOperator;
+
+import org.anvillatch.testbed.site.NodeProcess;
+import org.anvillatch.testbed.site.SiteRun;
+
+/**
+ * A named experiment: offered load over time and a trigger that begins and ends. Immutable and thread safe.
+ */
+enum ExperimentPlan {
+    /** Moderate load, no trigger: what the system adds to a call. */
+    STEADY("added latency against direct calls", 0.4, 0.4),
+    /** Offered load of twice the capacity. */
+    SURGE_2X("offered load of twice the capacity", 0.7, 2),
+    /** Offered load of four times the capacity. */
+    SURGE_4X("offered load of four times the capacity", 0.7, 4),
+    /** The bottleneck service becomes five times slower while callers retry. */
+    SLOW_SERVICE("the deepest service is five times slower", 0.7, 0.7) {
+        @Override
+        void begin(SiteRun site, String bottleneck) {
+            setSlowdown(site, bottleneck, SLOW_FACTOR);
+        }
+
+        @Override
+        void end(SiteRun site, String bottleneck) {
+            setSlowdown(site, bottleneck, 1);
+        }
+    },
+    /** Half of the bottleneck's workers are replaced by cold ones. */
+    COLD_START("half of the bottleneck's workers are cold", 0.7, 0.7) {
+        @Override
+        void begin(SiteRun site, String bottleneck) throws Exception {
+            List<SiteRun.Host> workers = workers(site, bottleneck);
+            for (SiteRun.Host host : workers.subList(0, workers.size() / 2)) {
+                host.endpoint().crash();
+                SiteRun.await("the port to be free", () -> host.endpoint().isStopped());
+                host.endpoint().start();
+                host.endpoint().beCold(COLD_MILLIS);
+                host.agent().start();
+            }
+        }
+    },
+    /** A quarter of all announcements promise three times the real slots, and report no load. */
+    MISLEADING_LOAD("one worker of each service announces three times its slots", 0.7, 1.2) {
+        @Override
+        void begin(SiteRun site, String bottleneck) {
+            for (SiteRun.Host host : site.hosts()) {
+                if (host.name().endsWith("-0")) {
+                    host.agent().setLie(LIE_FACTOR);
+                    host.agent().start();
+                }
+            }
+        }
+    },
+    /** The platform's log is down. */
+    PLATFORM_DOWN("the platform's log is down", 0.7, 0.7) {
+        @Override
+        void begin(SiteRun site, String bottleneck) {
+            site.log().setMode(org.anvillatch.testbed.platform.LogStandIn.Mode.DOWN);
+        }
+
+        @Override
+        void end(SiteRun site, String bottleneck) {
+            site.log().setMode(org.anvillatch.testbed.platform.LogStandIn.Mode.UP);
+        }
+    },
+    /** One worker of each service is stopped gracefully and started again. */
+    ROLLING_REPLACE("one host of each service is replaced", 0.6, 0.6) {
+        @Override
+        void begin(SiteRun site, String bottleneck) throws Exception {
+            for (SiteRun.Host host : site.hosts()) {
+                if (host.name().endsWith("-0") && host.node().isAlive()) {
+                    host.node().send(NodeProcess.Signal.TERM);
+                    host.node().awaitEnd(STOP_SECONDS);
+                    host.node().start();
+                }
+            }
+        }
+    };
+
+    private static final double SLOW_FACTOR = 5;
+    private static final double LIE_FACTOR = 3;
+    private static final long COLD_MILLIS = 2_000;
+    private static final long STOP_SECONDS = 20;
+
+    private final String description;
+    private final double load;
+    private final double triggerLoad;
+
+    ExperimentPlan(String description, double load, double triggerLoad) {
+        this.description = description;
+        this.load = load;
+        this.triggerLoad = triggerLoad;
+    }
+
+    String description() {
+        return description;
+    }
+
+    DoubleUnaryOperator rate(double capacity, double triggerStart, double triggerEnd) {
+        return at -> capacity * (at >= triggerStart && at < triggerEnd ? triggerLoad : load);
+    }
+
+    /** Begins the trigger. */
+    void begin(SiteRun site, String bottleneck) throws Exception {
+        // The change of the offered load is the whole trigger.
+    }
+
+    /** Ends the trigger. */
+    void end(SiteRun site, String bottleneck) throws Exception {
+        // The change of the offered load is the whole trigger.
+    }
+
+    private static List<SiteRun.Host> workers(SiteRun site, String service) {
+        return site.hosts().stream()
+                .filter(host -> host.endpoint().service().name().equals(service))
+                .toList();
+    }
+
+    private static void setSlowdown(SiteRun site, String service, double factor) {
+        workers(site, service).forEach(host -> host.endpoint().setSlowdown(factor));
+    }
+
+    static ExperimentPlan named(String name) {
+        for (ExperimentPlan plan : values()) {
+            if (plan.label().equals(name)) {
+                return plan;
+            }
+        }
+        return null;
+    }
+
+    String label() {
+        return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/anvillatch/testbed/experiment/VariantRun.java
@@ -0,0 +1,175 @@
+package org.anvillatch.testbed.experiment;
+
+import java.nio.file.Path;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.anvillatch.testbed.history.History;
+import org.anvillatch.testbed.history.HistoryChecker;
+import org.anvillatch.testbed.history.HistoryEvent;
+import org.anvillatch.testbed.load.CallTarget;
+import org.anvillatch.testbed.load.Callers;
+import org.anvillatch.testbed.load.NodeTarget;
+import org.anvillatch.testbed.site.SiteRun;
+import org.anvillatch.testbed.site.SiteSpec;
+
+/**
+ * One variant of one experiment. Not thread safe: used once.
+ */
+final class VariantRun {
+    private static final double WARM_UP_SECONDS = 5;
+    private static final int RESENDS = 3;
+    private static final long RESEND_MILLIS = 100;
+    private static final double MICROS_PER_SECOND = 1e6;
+    private static final int SHOWN_VIOLATIONS = 3;
+
+    /**
+     * What is run.
+     *
+     * @param spec the site
+     * @param plan the experiment
+     * @param seed seed of arrivals
+     * @param seconds duration of arrivals
+     * @param nodeFlags further flags of every node
+     * @param out directory for results
+     */
+    record Parameters(
+            SiteSpec spec, ExperimentPlan plan, long seed, double seconds, List<String> nodeFlags, Path out) {}
+
+    /**
+     * What came out.
+     *
+     * @param measurement figures
+     * @param endings how each root request ended
+     * @param times times of the run
+     */
+    record Result(Measurement measurement, Collection<Callers.Ending> endings, Measurer.Times times) {}
+
+    private final Parameters parameters;
+    private final Variant variant;
+
+    VariantRun(Parameters parameters, Variant variant) {
+        this.parameters = parameters;
+        this.variant = variant;
+    }
+
+    Result run() throws Exception {
+        DirectCalls direct = variant.hasNodes() ? null : new DirectCalls(variant.hopRetries());
+        Path logs = parameters.out().resolve(variant.label() + "-logs");
+        SiteRun.Options options = new SiteRun.Options(false, logs, parameters.nodeFlags(), "", direct);
+        try (SiteRun site = new SiteRun(parameters.spec(), options)) {
+            if (direct != null) {
+                direct.setSite(site);
+            }
+            site.start();
+            CallTarget target = direct != null
+                    ? direct
+                    : new NodeTarget(() -> site.hosts().stream()
+                            .filter(host -> host.node().isAlive())
+                            .map(host -> host.node().callerAddress())
+                            .toList());
+            return measure(site, target);
+        }
+    }
+
+    private Result measure(SiteRun site, CallTarget target) throws Exception {
+        Capacity.Bottleneck bottleneck = Capacity.of(parameters.spec());
+        ConcurrentLinkedQueue<Callers.Ending> endings = new ConcurrentLinkedQueue<>();
+        AtomicInteger counted = new AtomicInteger();
+        callers(site, target, "warm-up", endings).run(WARM_UP_SECONDS, at -> bottleneck.rootsPerSecond() / 2);
+        endings.clear();
+        int warmUpEvents = site.history().events().size();
+        double third = parameters.seconds() / 3;
+        long start = History.nowMicros();
+        Measurer.Times times = new Measurer.Times(
+                start,
+                start + (long) (third * MICROS_PER_SECOND),
+                start + (long) (2 * third * MICROS_PER_SECOND),
+                start + (long) (3 * third * MICROS_PER_SECOND));
+        Thread trigger = startTrigger(site, bottleneck.service(), times);
+        Thread progress = startProgress(endings, counted);
+        callers(site, target, variant.label(), endings)
+                .run(parameters.seconds(), parameters.plan().rate(bottleneck.rootsPerSecond(), third, 2 * third));
+        trigger.join();
+        progress.interrupt();
+        List<HistoryEvent> all = site.history().events();
+        List<HistoryEvent> events = all.subList(warmUpEvents, all.size()).stream()
+                .filter(event -> event.root() == null || !event.root().contains("warm-up"))
+                .toList();
+        HistoryChecker.Verdict verdict =
+                new HistoryChecker(events, parameters.spec().retryBound()).check();
+        if (variant.hasNodes()) {
+            print(verdict);
+        }
+        Measurement measurement = new Measurer(parameters.spec(), bottleneck, times, endings, events)
+                .measure(variant, verdict.violations().size());
+        return new Result(measurement, endings, times);
+    }
+
+    private Callers callers(
+            SiteRun site, CallTarget target, String run, ConcurrentLinkedQueue<Callers.Ending> endings) {
+        return new Callers(
+                site.spec(),
+                site.sender(),
+                target,
+                site.timer(),
+                site.history(),
+                new Callers.Behaviour(run, parameters.seed(), RESENDS, RESEND_MILLIS),
+                endings::add);
+    }
+
+    private Thread startTrigger(SiteRun site, String bottleneck, Measurer.Times times) {
+        Thread thread = new Thread(
+                () -> {
+                    try {
+                        sleepUntil(times.triggerStartMicros());
+                        parameters.plan().begin(site, bottleneck);
+                        sleepUntil(times.triggerEndMicros());
+                        parameters.plan().end(site, bottleneck);
+                    } catch (Exception failure) {
+                        throw new IllegalStateException("trigger failed", failure);
+                    }
+                },
+                "trigger");
+        thread.start();
+        return thread;
+    }
+
+    private static void sleepUntil(long atMicros) throws InterruptedException {
+        TimeUnit.MICROSECONDS.sleep(Math.max(0, atMicros - History.nowMicros()));
+    }
+
+    private Thread startProgress(Collection<Callers.Ending> endings, AtomicInteger counted) {
+        Thread thread = new Thread(
+                () -> {
+                    try {
+                        while (true) {
+                            TimeUnit.SECONDS.sleep(5);
+                            int now = endings.size();
+                            System.out.println("  " + variant.label() + ": " + now + " requests ended, "
+                                    + (now - counted.getAndSet(now)) / 5 + " a second");
+                        }
+                    } catch (InterruptedException ended) {
+                        Thread.currentThread().interrupt();
+                    }
+                },
+                "progress");
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
+    }
+
+    private static void print(HistoryChecker.Verdict verdict) {
+        verdict.violations().stream()
+                .collect(java.util.stream.Collectors.groupingBy(HistoryChecker.Violation::promise))
+                .forEach((promise, violations) -> {
+                    System.out.println("  BROKEN " + promise + ": " + violations.size() + " times");
+                    violations.stream()
+                            .limit(SHOWN_VIOLATIONS)
+                            .forEach(violation -> System.out.println("    " + violation.explanation()));
+                });
+    }
+}
--- a/testbed/src/main/java/org/anvillatch/testbed/site/OperationSpec.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/site/OperationSpec.java
@@ -18,4 +18,9 @@
         boolean idempotent,
         int deadlineMillis,
         int serviceMillis,
-        List<String> nested) {}
+        List<String> nested) {
+    OperationSpec slowedBy(double factor) {
+        return new OperationSpec(
+                name, importance, idempotent, (int) (deadlineMillis * factor), (int) (serviceMillis * factor), nested);
+    }
+}
--- a/testbed/src/main/java/org/anvillatch/testbed/site/SiteRun.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/site/SiteRun.java
@@ -16,6 +16,7 @@
 import org.anvillatch.node.operator.CommandAnswer;
 import org.anvillatch.testbed.endpoint.EndpointAgent;
 import org.anvillatch.testbed.endpoint.EndpointStandIn;
+import org.anvillatch.testbed.endpoint.NestedCalls;
 import org.anvillatch.testbed.endpoint.NodeNestedCalls;
 import org.anvillatch.testbed.history.History;
 import org.anvillatch.testbed.load.HttpSender;
@@ -48,8 +49,20 @@
      * @param directory where logs go
      * @param nodeFlags further flags of every node
      * @param externalLog address of a log service that runs elsewhere, empty for one in this process
+     * @param directCalls how nested calls are made without nodes, null to run nodes
      */
-    public record Options(boolean proxied, Path directory, List<String> nodeFlags, String externalLog) {}
+    public record Options(
+            boolean proxied, Path directory, List<String> nodeFlags, String externalLog, NestedCalls directCalls) {
+        /**
+         * Runs nodes without proxies and everything else in this process.
+         *
+         * @param directory where logs go
+         * @return the options
+         */
+        public static Options plain(Path directory) {
+            return new Options(false, directory, List.of(), "", null);
+        }
+    }
 
     /**
      * One host.
@@ -116,6 +129,12 @@
         sender = new HttpSender(threads, scheduler, CALLER_CONNECTIONS);
         nested = new NodeNestedCalls(sender);
         createHosts();
+        if (options.directCalls() == null) {
+            startNodes();
+        }
+    }
+
+    private void startNodes() throws Exception {
         for (Host host : hosts.values()) {
             host.node().start();
         }
@@ -160,7 +179,14 @@
                         options.nodeFlags()),
                 options.directory());
         EndpointStandIn endpoint = new EndpointStandIn(
-                name, service, new EndpointStandIn.EndpointContext(threads, scheduler, timer, history, nested));
+                name,
+                service,
+                new EndpointStandIn.EndpointContext(
+                        threads,
+                        scheduler,
+                        timer,
+                        history,
+                        options.directCalls() == null ? nested : options.directCalls()));
         endpoint.start();
         nested.setNode(name, node.endpointAddress());
         EndpointAgent agent = new EndpointAgent(endpoint, node.endpointAddress(), client, timer, history);
--- a/testbed/src/main/java/org/anvillatch/testbed/site/SiteSpec.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/site/SiteSpec.java
@@ -154,6 +154,26 @@
         return service(path.substring(0, slash)).operation(path.substring(slash + 1));
     }
 
+    /**
+     * Returns the same site with slower services, which divides all rates.
+     *
+     * @param factor factor on service times and deadlines
+     * @return a copy
+     */
+    public SiteSpec slowedBy(double factor) {
+        List<ServiceSpec> slower = services.stream()
+                .map(service -> new ServiceSpec(
+                        service.name(),
+                        service.workers(),
+                        service.slots(),
+                        service.connections(),
+                        service.operations().stream()
+                                .map(operation -> operation.slowedBy(factor))
+                                .toList()))
+                .toList();
+        return new SiteSpec(name, domains, importances, retryBound, slower, kinds);
+    }
+
     /**
      * Writes the site's intent in the operators' language.
      *
