Evict by rank at the endpoint and let shed levels only guide senders

Cause: the gatekeeper refused by a level computed from windows of 50 ms, in which an endpoint of 15 slots completes four executions; the level was noise, and parents took the maximum of it over all endpoints. Slots stood idle. Ruled out: deadlines (no refusal named them). A start that failed because a node's port was taken by an outgoing connection: ports now come from below that range, and a dead node is named.

--- a/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
@@ -21,9 +21,6 @@
  * takes new work. Not thread safe: owned by the host's decision loop.
  */
 public final class Gatekeeper {
-    /** Waiting time of started work above which the endpoint counts as overloaded, in microseconds. */
-    public static final long SOJOURN_TARGET_MICROS = 10_000;
-
     /** Length of the queue as a share of the limit. */
     public static final double QUEUE_SHARE = 0.5;
 
@@ -34,9 +31,8 @@
     private final AdmissionQueue queue = new AdmissionQueue();
     private final ShedLevel shedLevel = new ShedLevel();
     private final Set<Long> running = new HashSet<>();
-    private final Map<OperationName, LearnedLevel> downstream = new HashMap<>();
+    private final DownstreamLevels downstream = new DownstreamLevels();
     private final Map<OperationName, Double> latencyMicros = new HashMap<>();
-    private LearnedLevel peerFloor = LearnedLevel.NONE;
     private ConcurrencyLimit limit = new ConcurrencyLimit(1);
     private EndpointPhase phase = EndpointPhase.ABSENT;
 
@@ -91,11 +87,10 @@
         }
         shedLevel.advance(nowMicros);
         shedLevel.arrived(work.rank());
-        peerFloor = peerFloor.raisedBy(work.levelFloor(), nowMicros);
         if (isDoomed(work, nowMicros)) {
             return List.of(refuse(work, RefusalReason.DEADLINE, nowMicros));
         }
-        if (features.shedLevels() && work.rank() < levelFor(work.operation(), nowMicros)) {
+        if (features.shedLevels() && work.rank() < downstream.level(work.operation(), nowMicros)) {
             return List.of(refuse(work, RefusalReason.OVERLOAD, nowMicros));
         }
         if (running.size() < limit.limit() && queue.size() == 0) {
@@ -109,7 +104,7 @@
         Optional<Work> evicted = queue.add(work, queueCapacity(), nowMicros);
         List<AdmissionAction> actions = new ArrayList<>();
         evicted.ifPresent(lowest -> {
-            shedLevel.overload();
+            shedLevel.evicted();
             actions.add(refuse(lowest, RefusalReason.OVERLOAD, nowMicros));
         });
         actions.addAll(startWaiting(nowMicros));
@@ -167,7 +162,7 @@
         shedLevel.advance(nowMicros);
         List<AdmissionAction> actions = new ArrayList<>();
         for (Work work : queue.removeOverdue(nowMicros)) {
-            shedLevel.overload();
+            shedLevel.evicted();
             actions.add(refuse(work, RefusalReason.DEADLINE, nowMicros));
         }
         actions.addAll(startWaiting(nowMicros));
@@ -175,20 +170,20 @@
     }
 
     /**
-     * Learns the level that nested calls of an operation have met.
+     * Learns the level that a nested call has met.
      *
-     * @param operation operation that made the nested call
+     * @param caller operation that made the nested call
+     * @param called operation that was called
      * @param level level in the nested call's answer
      * @param nowMicros current time
      */
-    public void downstreamLevel(OperationName operation, int level, long nowMicros) {
-        LearnedLevel known = downstream.getOrDefault(operation, LearnedLevel.NONE);
-        downstream.put(operation, known.raisedBy(level, nowMicros));
+    public void downstreamLevel(OperationName caller, OperationName called, int level, long nowMicros) {
+        downstream.heard(caller, called, level, nowMicros);
     }
 
     /**
-     * Returns the lowest rank admitted for an operation: the highest of this endpoint's own level, that of the calls it
-     * makes in turn, and that seen at other endpoints of the service.
+     * Returns the lowest rank that senders should send for an operation: the higher of this endpoint's own level and the
+     * average level met by the calls that the operation makes in turn.
      *
      * @param operation the operation
      * @param nowMicros current time
@@ -198,9 +193,7 @@
         if (!features.shedLevels()) {
             return 0;
         }
-        int below = downstream.getOrDefault(operation, LearnedLevel.NONE).at(nowMicros);
-        int own = Math.max(shedLevel.level(), below);
-        return Math.max(own, peerFloor.at(nowMicros));
+        return Math.max(shedLevel.level(), downstream.level(operation, nowMicros));
     }
 
     private List<AdmissionAction> startWaiting(long nowMicros) {
@@ -216,11 +209,8 @@
     }
 
     private AdmissionAction startOrDrop(AdmissionQueue.Waiting next, long nowMicros) {
-        if (nowMicros - next.arrivedMicros() > SOJOURN_TARGET_MICROS) {
-            shedLevel.overload();
-        }
         if (isDoomed(next.work(), nowMicros)) {
-            shedLevel.overload();
+            shedLevel.evicted();
             return refuse(next.work(), RefusalReason.DEADLINE, nowMicros);
         }
         running.add(next.work().execution());
--- a/decision/src/main/java/org/anvillatch/decision/admission/LearnedLevel.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/LearnedLevel.java
@@ -44,13 +44,15 @@
     }
 
     /**
-     * Combines with a level of another source; the higher one wins.
+     * Combines with a level of another source, for the average over sources.
      *
      * @param heard the level just heard
+     * @param weight weight of what was heard, 0 to 1
      * @param nowMicros current time
      * @return the level to remember
      */
-    public LearnedLevel raisedBy(int heard, long nowMicros) {
-        return heard >= at(nowMicros) ? new LearnedLevel(heard, nowMicros) : this;
+    public LearnedLevel averagedWith(int heard, double weight, long nowMicros) {
+        int known = at(nowMicros);
+        return new LearnedLevel((int) Math.round(known + (heard - known) * weight), nowMicros);
     }
 }
--- a/decision/src/main/java/org/anvillatch/decision/admission/ShedLevel.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/ShedLevel.java
@@ -3,29 +3,43 @@
 import org.anvillatch.decision.model.Rank;
 
 /**
- * The lowest rank that one endpoint admits. Work of lower rank is refused before it queues.
+ * The lowest rank that one endpoint wants its senders to send. The endpoint's own queue refuses by eviction, which never
+ * leaves a slot idle; the level tells senders to refuse earlier, before work is spent on what would be evicted.
  *
- * <p>At the end of each window the level is set so that the arrivals of that window, counted by rank, would have
- * matched what the endpoint completed (after DAGOR, SoCC 2018). A window without overload multiplies what is let in,
- * so the level falls within a few windows after the overload ends.
+ * <p>Arrivals are counted by rank, evictions and completions in total, all with exponential decay. While more than a
+ * small part of the arrivals is evicted, the level is set so that what ranks higher just exceeds the completions (after
+ * DAGOR, SoCC 2018). While almost nothing is evicted the level falls, faster the longer that lasts.
  *
  * <p>Invariant: {@code 0 <= level <= Rank.LIMIT}. Not thread safe: owned by the host's decision loop.
  */
 public final class ShedLevel {
-    /** Length of a window in microseconds. */
-    public static final long WINDOW_MICROS = 50_000;
+    /** Time between two adjustments, in microseconds. */
+    public static final long STEP_MICROS = 25_000;
 
-    private static final int LEAST_ARRIVALS = 8;
-    private static final double OVERLOADED_FACTOR = 1.02;
-    private static final double RECOVERY_FACTOR = 1.25;
+    /** Time in which a count decays to about a third, in microseconds. */
+    public static final long DECAY_MICROS = 300_000;
 
-    private final int[] arrivals = new int[Rank.LIMIT];
-    private int arrivalCount;
-    private int completions;
-    private int level;
-    private boolean overloaded;
-    private double recovery = RECOVERY_FACTOR;
-    private long windowEndMicros;
+    /** Share of evicted arrivals above which the level rises. */
+    public static final double HIGH_PRESSURE = 0.06;
+
+    /** Share of evicted arrivals below which the level falls. */
+    public static final double LOW_PRESSURE = 0.02;
+
+    /** What senders should send, as a multiple of what is completed. */
+    public static final double OFFERED_FACTOR = 1.05;
+
+    private static final double KEPT = Math.exp(-(double) STEP_MICROS / DECAY_MICROS);
+    private static final int LEAST_ARRIVALS = 4;
+    private static final double FIRST_FALL = 1;
+    private static final double FALL_GROWTH = 1.08;
+
+    private final double[] arrivals = new double[Rank.LIMIT];
+    private double arrivalCount;
+    private double evictions;
+    private double completions;
+    private double level;
+    private double fall = FIRST_FALL;
+    private long nextStepMicros;
 
     /**
      * Counts an arrival, whether it is admitted or refused.
@@ -42,83 +56,58 @@
         completions++;
     }
 
-    /** Notes that work waited longer than the target, or was evicted, in this window. */
-    public void overload() {
-        overloaded = true;
+    /** Counts work that was refused after it had arrived, because others ranked higher or its time ran out. */
+    public void evicted() {
+        evictions++;
     }
 
     /**
      * Returns the level in force.
      *
-     * @return lowest admitted rank
+     * @return lowest rank that senders should send
      */
     public int level() {
-        return level;
+        return (int) level;
     }
 
     /**
-     * Closes the window if its time has come.
+     * Adjusts the level if it is time.
      *
      * @param nowMicros current time
      */
     public void advance(long nowMicros) {
-        if (nowMicros < windowEndMicros) {
-            return;
-        }
-        boolean idle = nowMicros - windowEndMicros > WINDOW_MICROS * 4;
-        windowEndMicros = nowMicros + WINDOW_MICROS;
-        if (idle) {
-            level = 0;
-        } else if (overloaded) {
-            raise();
-        } else {
-            lower();
-        }
-        reset();
-    }
-
-    private void raise() {
-        recovery = RECOVERY_FACTOR;
-        if (arrivalCount < LEAST_ARRIVALS) {
+        if (nowMicros < nextStepMicros) {
             return;
         }
-        int target = (int) Math.ceil(completions * OVERLOADED_FACTOR);
-        level = Math.max(levelThatAdmits(target), level / 2);
-    }
-
-    private void lower() {
-        if (level == 0) {
-            return;
+        nextStepMicros = nowMicros + STEP_MICROS;
+        double pressure = evictions / Math.max(LEAST_ARRIVALS, arrivalCount);
+        if (pressure > HIGH_PRESSURE) {
+            fall = FIRST_FALL;
+            level = Math.max(level, levelThatAdmits(completions * OFFERED_FACTOR));
+        } else if (pressure < LOW_PRESSURE) {
+            level = Math.max(0, level - fall);
+            fall = Math.min(Rank.BUCKETS, fall * FALL_GROWTH);
         }
-        int admitted = countFrom(level);
-        int target = (int) Math.ceil(Math.max(admitted, completions) * recovery) + 1;
-        recovery *= RECOVERY_FACTOR;
-        level = Math.min(level, levelThatAdmits(target));
+        decay();
     }
 
-    private int levelThatAdmits(int target) {
-        int sum = 0;
+    private int levelThatAdmits(double target) {
+        double sum = 0;
         for (int rank = Rank.LIMIT - 1; rank >= 0; rank--) {
             sum += arrivals[rank];
             if (sum > target) {
-                return rank + 1;
+                return rank;
             }
         }
         return 0;
     }
 
-    private int countFrom(int rank) {
-        int sum = 0;
-        for (int index = rank; index < Rank.LIMIT; index++) {
-            sum += arrivals[index];
+    private void decay() {
+        for (int rank = 0; rank < arrivals.length; rank++) {
+            arrivals[rank] *= KEPT;
         }
-        return sum;
-    }
-
-    private void reset() {
-        java.util.Arrays.fill(arrivals, 0);
-        arrivalCount = 0;
-        completions = 0;
-        overloaded = false;
+        arrivalCount *= KEPT;
+        evictions *= KEPT;
+        completions *= KEPT;
     }
 }
--- a/decision/src/main/java/org/anvillatch/decision/admission/Work.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/Work.java
@@ -9,6 +9,5 @@
  * @param operation the operation to run
  * @param rank order of refusal, see {@link org.anvillatch.decision.model.Rank}
  * @param deadlineMicros time after which nobody waits for the answer, on the host's clock
- * @param levelFloor shed level that the sender has seen at other endpoints of the service
  */
-public record Work(long execution, OperationName operation, int rank, long deadlineMicros, int levelFloor) {}
+public record Work(long execution, OperationName operation, int rank, long deadlineMicros) {}
--- a/node/src/main/java/org/anvillatch/node/call/CallRouter.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallRouter.java
@@ -132,7 +132,7 @@
                 return;
             }
             record(choice.host().host().name(), "chosen", "", choice.level());
-            dispatch(choice.host(), now, choice.level());
+            dispatch(choice.host(), now);
         }
 
         private RefusalReason refusalBeforeRouting(long now) {
@@ -152,9 +152,8 @@
             end(CallAnswer.refused(reason, detail, report, budget.remaining(), ""));
         }
 
-        private void dispatch(Member host, long now, int level) {
+        private void dispatch(Member host, long now) {
             long remaining = call.deadlineMicros() - now;
-            int floor = level / Rank.BUCKETS * Rank.BUCKETS;
             DispatchMessage message = new DispatchMessage(
                     call.context(),
                     call.operation(),
@@ -162,8 +161,7 @@
                     call.body(),
                     call.fingerprint(),
                     remaining,
-                    budget.takeShare(),
-                    floor);
+                    budget.takeShare());
             state.selector().sent(host);
             if (host.host().equals(state.membership().self().host())) {
                 dispatchHere(host, message);
--- a/node/src/main/java/org/anvillatch/node/call/DispatchMessage.java
+++ b/node/src/main/java/org/anvillatch/node/call/DispatchMessage.java
@@ -13,7 +13,6 @@
  * @param fingerprint hash of the operation and the body
  * @param remainingMicros time left until nobody waits
  * @param retries retries that calls below this one may cause
- * @param levelFloor shed level seen at other endpoints of the service
  */
 public record DispatchMessage(
         CallContext context,
@@ -22,6 +21,5 @@
         CallBody body,
         String fingerprint,
         long remainingMicros,
-        int retries,
-        int levelFloor)
+        int retries)
         implements PeerMessage {}
--- a/node/src/main/java/org/anvillatch/node/call/Gatekeeping.java
+++ b/node/src/main/java/org/anvillatch/node/call/Gatekeeping.java
@@ -172,12 +172,7 @@
         } else if (state.isQuarantined(message.fingerprint())) {
             refuse(execution, RefusalReason.QUARANTINED, 0);
         } else {
-            Work work = new Work(
-                    number,
-                    message.operation(),
-                    message.context().rank(),
-                    execution.deadlineMicros,
-                    message.levelFloor());
+            Work work = new Work(number, message.operation(), message.context().rank(), execution.deadlineMicros);
             perform(state.gatekeeper().offer(work, now));
         }
         return number;
--- a/node/src/main/java/org/anvillatch/node/caller/CallHandler.java
+++ b/node/src/main/java/org/anvillatch/node/caller/CallHandler.java
@@ -273,7 +273,10 @@
             parent.budget().giveBack(answer.unspentRetries());
             state.gatekeeper()
                     .downstreamLevel(
-                            parent.message().operation(), answer.report().level(), loop.nowMicros());
+                            parent.message().operation(),
+                            call.operation(),
+                            answer.report().level(),
+                            loop.nowMicros());
         }
         record(call, answer);
         HttpAnswers.call(exchange.response(), call.context().root(), answer, exchange.callback());
--- a/testbed/src/main/java/org/anvillatch/testbed/site/SiteRun.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/site/SiteRun.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 
 import org.anvillatch.node.operator.CommandAnswer;
@@ -34,6 +35,10 @@
     /** Key of operators who may change the configuration. */
     public static final String CHANGE_KEY = "testbed-change-key";
 
+    private static final int FIRST_PORT = 12_000;
+    private static final int PORT_RANGE = 20_000;
+    private static final int PORT_STRIDE = 997;
+    private static final AtomicInteger NEXT_PORT = new AtomicInteger();
     private static final int PORTS_PER_NODE = 4;
     private static final int SEEDS = 3;
     private static final long READY_MILLIS = 60_000;
@@ -194,29 +199,37 @@
     }
 
     /**
-     * Finds free ports.
+     * Finds free ports below the range from which the system takes ports of outgoing connections.
      *
      * @param count how many
      * @return ports that were free a moment ago
      * @throws IOException if there are not enough
      */
     public static List<Integer> freePorts(int count) throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
         List<Integer> ports = new ArrayList<>();
-        try {
-            for (int index = 0; index < count; index++) {
-                ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-                sockets.add(socket);
-                ports.add(socket.getLocalPort());
-            }
-        } finally {
-            for (ServerSocket socket : sockets) {
-                socket.close();
+        int start = (int) (ProcessHandle.current().pid() * PORT_STRIDE % PORT_RANGE);
+        for (int tried = 0; tried < PORT_RANGE && ports.size() < count; tried++) {
+            int port = FIRST_PORT + (start + NEXT_PORT.getAndIncrement()) % PORT_RANGE;
+            if (isFree(port)) {
+                ports.add(port);
             }
         }
+        if (ports.size() < count) {
+            throw new IOException("only " + ports.size() + " of " + count + " ports are free");
+        }
         return ports;
     }
 
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket()) {
+            socket.setReuseAddress(true);
+            socket.bind(new java.net.InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            return true;
+        } catch (IOException taken) {
+            return false;
+        }
+    }
+
     private void declareIntent() throws IOException, InterruptedException {
         String address = hosts.values().iterator().next().node().operatorAddress();
         await("the site's intent to be accepted", () -> {
@@ -234,7 +247,11 @@
 
     private boolean isComplete() {
         for (Host host : hosts.values()) {
-            if (host.node().isAlive() && !knowsAll(host)) {
+            if (!host.node().isAlive()) {
+                throw new IllegalStateException(
+                        "node " + host.name() + " has ended; see its log in " + options.directory());
+            }
+            if (!knowsAll(host)) {
                 return false;
             }
         }
