--- /dev/null
+++ b/decision/src/test/java/org/anvillatch/decision/admission/GatekeeperTest.java
@@ -0,0 +1,129 @@
+package org.anvillatch.decision.admission;
+
+import java.util.List;
+
+import org.anvillatch.decision.drain.EndpointPhase;
+import org.anvillatch.decision.model.OperationName;
+import org.anvillatch.decision.model.Rank;
+import org.anvillatch.decision.model.RefusalReason;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class GatekeeperTest {
+    private static final OperationName OPERATION = new OperationName("glossary", "terms");
+    private static final long FAR = 10_000_000;
+    private static final int BULK = 5;
+    private static final int IMPORTANT = 2 * Rank.BUCKETS;
+
+    private final Gatekeeper gatekeeper = new Gatekeeper(AdmissionFeatures.ALL);
+
+    private static Work work(long execution, int rank) {
+        return new Work(execution, OPERATION, rank, FAR);
+    }
+
+    private void fillSlots(int slots) {
+        for (int execution = 0; execution < slots; execution++) {
+            gatekeeper.offer(work(1_000 + execution, BULK), 0);
+        }
+    }
+
+    @Test
+    void refusesWithoutEndpoint() {
+        List<AdmissionAction> actions = gatekeeper.offer(work(1, BULK), 0);
+        assertThat(actions).containsExactly(new AdmissionAction.Refuse(1, RefusalReason.NO_ENDPOINT, 0));
+    }
+
+    @Test
+    void startsNoMoreThanLimit() {
+        gatekeeper.announced(4);
+        assertThat(gatekeeper.offer(work(1, BULK), 0)).containsExactly(new AdmissionAction.Start(1));
+        assertThat(gatekeeper.offer(work(2, BULK), 0)).isEmpty();
+        assertThat(gatekeeper.status().running()).isEqualTo(1);
+    }
+
+    @Test
+    void evictsLeastImportantFirst() {
+        gatekeeper.announced(4);
+        fillSlots(1);
+        for (int execution = 1; execution <= 4; execution++) {
+            gatekeeper.offer(work(execution, BULK + execution), 0);
+        }
+        List<AdmissionAction> actions = gatekeeper.offer(work(9, IMPORTANT), 0);
+        assertThat(actions).hasSize(1);
+        AdmissionAction.Refuse refusal = (AdmissionAction.Refuse) actions.get(0);
+        assertThat(refusal.execution()).isEqualTo(1);
+        assertThat(refusal.reason()).isEqualTo(RefusalReason.OVERLOAD);
+    }
+
+    @Test
+    void runsMostImportantNext() {
+        gatekeeper.announced(4);
+        fillSlots(1);
+        gatekeeper.offer(work(1, BULK), 0);
+        gatekeeper.offer(work(2, IMPORTANT), 0);
+        List<AdmissionAction> actions = gatekeeper.finished(1_000, ExecutionEnding.CANCELLED, 100, OPERATION, 200);
+        assertThat(actions).containsExactly(new AdmissionAction.Start(2));
+    }
+
+    @Test
+    void refusesWaitingWorkWhenEndpointLeaves() {
+        gatekeeper.announced(4);
+        fillSlots(1);
+        gatekeeper.offer(work(1, IMPORTANT), 0);
+        List<AdmissionAction> actions = gatekeeper.enter(EndpointPhase.LEAVING, 10);
+        assertThat(actions).containsExactly(new AdmissionAction.Refuse(1, RefusalReason.DRAINING, 0));
+        assertThat(gatekeeper.finished(1_000, ExecutionEnding.ANSWERED, 100, OPERATION, 200))
+                .isEmpty();
+        assertThat(gatekeeper.offer(work(2, IMPORTANT), 300))
+                .containsExactly(new AdmissionAction.Refuse(2, RefusalReason.DRAINING, 0));
+    }
+
+    @Test
+    void dropsWorkThatCannotFinishInTime() {
+        gatekeeper.announced(4);
+        gatekeeper.offer(work(1, IMPORTANT), 0);
+        gatekeeper.finished(1, ExecutionEnding.ANSWERED, 100_000, OPERATION, 100_000);
+        List<AdmissionAction> actions = gatekeeper.offer(new Work(2, OPERATION, IMPORTANT, 120_000), 100_000);
+        assertThat(actions).containsExactly(new AdmissionAction.Refuse(2, RefusalReason.DEADLINE, 0));
+    }
+
+    @Test
+    void coldEndpointStartsLowAndReachesItsSlots() {
+        gatekeeper.announced(40);
+        assertThat(gatekeeper.status().limit()).isEqualTo(10);
+        long now = 0;
+        for (int execution = 0; execution < 40; execution++) {
+            gatekeeper.offer(work(execution, IMPORTANT), now);
+            gatekeeper.finished(execution, ExecutionEnding.ANSWERED, 10, OPERATION, now);
+        }
+        assertThat(gatekeeper.status().limit()).isEqualTo(40);
+    }
+
+    @Test
+    void rejectionsLowerTheLimitOfAnEndpointThatPromisedTooMuch() {
+        gatekeeper.announced(4);
+        long now = 1_000_000;
+        for (int execution = 0; execution < 10; execution++) {
+            gatekeeper.offer(work(execution, IMPORTANT), now);
+            gatekeeper.finished(execution, ExecutionEnding.ANSWERED, 10, OPERATION, now);
+        }
+        int before = gatekeeper.status().limit();
+        gatekeeper.offer(work(50, IMPORTANT), now);
+        gatekeeper.finished(50, ExecutionEnding.REJECTED, 10, OPERATION, now);
+        assertThat(gatekeeper.status().limit()).isLessThan(before);
+    }
+
+    @Test
+    void downstreamLevelRefusesEveryOperationThatMakesTheCall() {
+        OperationName feed = new OperationName("catalogue", "feed");
+        OperationName lookup = new OperationName("catalogue", "lookup");
+        gatekeeper.announced(80);
+        gatekeeper.downstreamLevel(feed, OPERATION, 0, 0);
+        for (int answer = 0; answer < 40; answer++) {
+            gatekeeper.downstreamLevel(lookup, OPERATION, IMPORTANT, 1_000);
+        }
+        List<AdmissionAction> actions = gatekeeper.offer(new Work(1, feed, BULK, FAR), 2_000);
+        assertThat(actions.get(0)).isInstanceOf(AdmissionAction.Refuse.class);
+    }
+}
--- /dev/null
+++ b/decision/src/test/java/org/anvillatch/decision/quarantine/CrashSuspectsTest.java
@@ -0,0 +1,44 @@
+package org.anvillatch.decision.quarantine;
+
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class CrashSuspectsTest {
+    private final CrashSuspects suspects = new CrashSuspects();
+
+    @Test
+    void secondCrashQuarantines() {
+        suspects.add(new CrashSuspects.Suspicion("poison", "host-a/1"));
+        assertThat(suspects.isSuspect("poison")).isTrue();
+        assertThat(suspects.isQuarantined("poison")).isFalse();
+        suspects.add(new CrashSuspects.Suspicion("poison", "host-b/1"));
+        assertThat(suspects.isQuarantined("poison")).isTrue();
+    }
+
+    @Test
+    void sameCrashHeardTwiceCountsOnce() {
+        CrashSuspects.Suspicion suspicion = new CrashSuspects.Suspicion("poison", "host-a/1");
+        assertThat(suspects.add(suspicion)).isTrue();
+        assertThat(suspects.add(suspicion)).isFalse();
+        assertThat(suspects.isQuarantined("poison")).isFalse();
+    }
+
+    @Test
+    void releaseEndsTheQuarantine() {
+        suspects.add(new CrashSuspects.Suspicion("poison", "host-a/1"));
+        suspects.add(new CrashSuspects.Suspicion("poison", "host-b/1"));
+        suspects.release(Set.of("poison"));
+        assertThat(suspects.isQuarantined("poison")).isFalse();
+    }
+
+    @Test
+    void remembersABoundedNumber() {
+        for (int index = 0; index < CrashSuspects.CAPACITY + 10; index++) {
+            suspects.add(new CrashSuspects.Suspicion("request-" + index, "host/1"));
+        }
+        assertThat(suspects.all()).hasSize(CrashSuspects.CAPACITY);
+    }
+}
--- /dev/null
+++ b/decision/src/test/java/org/anvillatch/decision/retry/RetryBudgetProperties.java
@@ -0,0 +1,76 @@
+package org.anvillatch.decision.retry;
+
+import java.util.SplittableRandom;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** A chain of any shape spends no more retries than the declared bound, whatever answers are lost. */
+class RetryBudgetProperties {
+    private static final int DEPTH = 16;
+    private static final int MOST_FANOUT = 4;
+
+    @Property(tries = 200, seed = "7")
+    void chainStaysWithinItsBudget(
+            @ForAll @IntRange(max = 20) int bound, @ForAll long seed, @ForAll @IntRange(max = 100) int lossPercent) {
+        Chain chain = new Chain(new SplittableRandom(seed), lossPercent);
+        chain.call(bound, DEPTH);
+        assertThat(chain.retries).isAtMost(bound);
+    }
+
+    @Property(tries = 200, seed = "7")
+    void allAttemptsOfACallerTogetherStayWithinTheBound(@ForAll @IntRange(max = 100) int bound) {
+        int total = 0;
+        int attempt = 0;
+        while (RetryBudget.shareOfAttempt(bound, attempt) >= 0) {
+            total += RetryBudget.shareOfAttempt(bound, attempt);
+            attempt++;
+        }
+        int resends = attempt - 1;
+        assertThat(total + resends).isAtMost(bound);
+    }
+
+    private static final class Chain {
+        private final SplittableRandom random;
+        private final int lossPercent;
+        private int retries;
+        private int calls;
+
+        private Chain(SplittableRandom random, int lossPercent) {
+            this.random = random;
+            this.lossPercent = lossPercent;
+        }
+
+        /** Makes one call with all its retries; returns what it did not spend. */
+        private int call(int given, int depth) {
+            RetryBudget budget = new RetryBudget(given);
+            boolean lost = true;
+            while (lost) {
+                int share = budget.takeShare();
+                int unspent = execute(share, depth);
+                lost = random.nextInt(100) < lossPercent;
+                if (!lost) {
+                    budget.giveBack(unspent);
+                } else if (!budget.spend()) {
+                    return 0;
+                } else {
+                    retries++;
+                }
+            }
+            return budget.remaining();
+        }
+
+        private int execute(int given, int depth) {
+            RetryBudget budget = new RetryBudget(given);
+            int fanout = depth == 0 || calls > 2_000 ? 0 : 1 + random.nextInt(MOST_FANOUT);
+            for (int index = 0; index < fanout; index++) {
+                calls++;
+                budget.giveBack(call(budget.takeShare(), depth - 1));
+            }
+            return budget.remaining();
+        }
+    }
+}
--- /dev/null
+++ b/decision/src/test/java/org/anvillatch/decision/routing/EndpointSelectorTest.java
@@ -0,0 +1,98 @@
+package org.anvillatch.decision.routing;
+
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import org.anvillatch.decision.drain.EndpointPhase;
+import org.anvillatch.decision.membership.Member;
+import org.anvillatch.decision.membership.MemberStatus;
+import org.anvillatch.decision.membership.Membership;
+import org.anvillatch.decision.model.HostIdentity;
+import org.anvillatch.decision.model.OperationName;
+import org.anvillatch.decision.model.RefusalReason;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class EndpointSelectorTest {
+    private static final OperationName OPERATION = new OperationName("glossary", "terms");
+    private static final long NOW = 1_000_000;
+
+    private final Membership membership =
+            new Membership(member("self", "d1", EndpointPhase.ABSENT, MemberStatus.ALIVE), List.of());
+    private final EndpointSelector selector = new EndpointSelector(membership);
+    private final SplittableRandom random = new SplittableRandom(1);
+
+    private static Member member(String name, String domain, EndpointPhase phase, MemberStatus status) {
+        return new Member(new HostIdentity(name, 1), 0, name, domain, "glossary", 10, phase, status);
+    }
+
+    private RouteChoice choose(int rank, Set<String> excluded, Set<String> drained) {
+        return selector.choose(new EndpointSelector.Request(OPERATION, rank, excluded, drained), NOW, random);
+    }
+
+    private void know(Member... members) {
+        membership.learn(List.of(members), NOW);
+    }
+
+    @Test
+    void refusesWithoutEndpoint() {
+        assertThat(choose(0, Set.of(), Set.of()).refusal()).isEqualTo(RefusalReason.NO_ENDPOINT);
+    }
+
+    @Test
+    void neverChoosesLeavingDeadExcludedOrDrainedHosts() {
+        know(
+                member("leaving", "d1", EndpointPhase.LEAVING, MemberStatus.ALIVE),
+                member("tried", "d1", EndpointPhase.SERVING, MemberStatus.ALIVE),
+                member("drained", "d1", EndpointPhase.SERVING, MemberStatus.ALIVE),
+                member("far", "d2", EndpointPhase.SERVING, MemberStatus.ALIVE),
+                member("good", "d1", EndpointPhase.SERVING, MemberStatus.ALIVE));
+        for (int tries = 0; tries < 50; tries++) {
+            RouteChoice choice = choose(0, Set.of("tried"), Set.of("drained", "d2"));
+            assertThat(choice.host().host().name()).isEqualTo("good");
+        }
+    }
+
+    @Test
+    void suspectedHostIsTheLastResort() {
+        know(member("suspect", "d1", EndpointPhase.SERVING, MemberStatus.SUSPECT));
+        assertThat(choose(0, Set.of(), Set.of()).isChosen()).isTrue();
+        know(member("good", "d2", EndpointPhase.SERVING, MemberStatus.ALIVE));
+        assertThat(choose(0, Set.of(), Set.of()).host().host().name()).isEqualTo("good");
+    }
+
+    @Test
+    void refusesARankBelowTheLevelOfEveryEndpoint() {
+        Member only = member("only", "d1", EndpointPhase.SERVING, MemberStatus.ALIVE);
+        know(only);
+        selector.sent(only);
+        selector.answered(only, new AnswerReport(OPERATION, 200, 5, 0), NOW);
+        assertThat(choose(100, Set.of(), Set.of()).refusal()).isEqualTo(RefusalReason.OVERLOAD);
+        assertThat(choose(300, Set.of(), Set.of()).isChosen()).isTrue();
+    }
+
+    @Test
+    void levelThatIsNotConfirmedRunsOut() {
+        Member only = member("only", "d1", EndpointPhase.SERVING, MemberStatus.ALIVE);
+        know(only);
+        selector.sent(only);
+        selector.answered(only, new AnswerReport(OPERATION, 200, 5, 0), NOW);
+        EndpointSelector.Request request = new EndpointSelector.Request(OPERATION, 0, Set.of(), Set.of());
+        assertThat(selector.choose(request, NOW + 1_000_000, random).isChosen()).isTrue();
+    }
+
+    @Test
+    void failingEndpointIsAvoided() {
+        Member bad = member("bad", "d1", EndpointPhase.SERVING, MemberStatus.ALIVE);
+        know(bad, member("good", "d1", EndpointPhase.SERVING, MemberStatus.ALIVE));
+        for (int failures = 0; failures < 3; failures++) {
+            selector.sent(bad);
+            selector.failed(bad, NOW);
+        }
+        for (int tries = 0; tries < 20; tries++) {
+            assertThat(choose(0, Set.of(), Set.of()).host().host().name()).isEqualTo("good");
+        }
+    }
+}
--- a/language/src/main/antlr/Operator.g4
+++ b/language/src/main/antlr/Operator.g4
@@ -16,16 +16,21 @@
     | RETURN scope name                                              # returnToService
     | QUARANTINE name                                                # quarantine
     | RELEASE name                                                   # release
-    | SHOW CONFIGURATION                                             # showConfiguration
-    | SHOW HISTORY                                                   # showHistory
-    | SHOW HOSTS                                                     # showHosts
-    | SHOW QUARANTINE                                                # showQuarantine
-    | SHOW SHED (BY grouping)? (TOP number)? (LAST number SECONDS)?  # showShed
-    | SHOW CHANGE name                                               # showChange
+    | SHOW topic                                                     # show
     | EXPLAIN REQUEST name                                           # explain
     | HELP                                                           # help
     ;
 
+// A rule of its own, so that an unknown topic is reported with the topics that exist.
+topic
+    : CONFIGURATION                                             # showConfiguration
+    | HISTORY                                                   # showHistory
+    | HOSTS                                                     # showHosts
+    | QUARANTINE                                                # showQuarantine
+    | SHED (BY grouping)? (TOP number)? (LAST number SECONDS)?  # showShed
+    | CHANGE name                                               # showChange
+    ;
+
 operationPart
     : IMPORTANCE name
     | NOT? IDEMPOTENT
--- a/language/src/main/java/org/anvillatch/language/ScriptParser.java
+++ b/language/src/main/java/org/anvillatch/language/ScriptParser.java
@@ -6,8 +6,6 @@
 import org.antlr.v4.runtime.BaseErrorListener;
 import org.antlr.v4.runtime.CharStreams;
 import org.antlr.v4.runtime.CommonTokenStream;
-import org.antlr.v4.runtime.InputMismatchException;
-import org.antlr.v4.runtime.NoViableAltException;
 import org.antlr.v4.runtime.Parser;
 import org.antlr.v4.runtime.RecognitionException;
 import org.antlr.v4.runtime.Recognizer;
@@ -98,9 +96,7 @@
         }
 
         private static List<String> expected(Parser parser, RecognitionException cause) {
-            IntervalSet tokens = cause instanceof NoViableAltException || cause instanceof InputMismatchException
-                    ? cause.getExpectedTokens()
-                    : parser.getExpectedTokens();
+            IntervalSet tokens = cause == null ? parser.getExpectedTokens() : cause.getExpectedTokens();
             List<String> words = new ArrayList<>();
             boolean anyName = tokens != null && tokens.contains(OperatorLexer.WORD);
             if (anyName) {
--- a/language/src/main/java/org/anvillatch/language/grammar/OperatorBaseVisitor.java
+++ b/language/src/main/java/org/anvillatch/language/grammar/OperatorBaseVisitor.java
@@ -81,56 +81,63 @@
 	 * <p>The default implementation returns the result of calling
 	 * {@link #visitChildren} on {@code ctx}.</p>
 	 */
-	@Override public T visitShowConfiguration(OperatorParser.ShowConfigurationContext ctx) { return visitChildren(ctx); }
+	@Override public T visitShow(OperatorParser.ShowContext ctx) { return visitChildren(ctx); }
 	/**
 	 * {@inheritDoc}
 	 *
 	 * <p>The default implementation returns the result of calling
 	 * {@link #visitChildren} on {@code ctx}.</p>
 	 */
-	@Override public T visitShowHistory(OperatorParser.ShowHistoryContext ctx) { return visitChildren(ctx); }
+	@Override public T visitExplain(OperatorParser.ExplainContext ctx) { return visitChildren(ctx); }
 	/**
 	 * {@inheritDoc}
 	 *
 	 * <p>The default implementation returns the result of calling
 	 * {@link #visitChildren} on {@code ctx}.</p>
 	 */
-	@Override public T visitShowHosts(OperatorParser.ShowHostsContext ctx) { return visitChildren(ctx); }
+	@Override public T visitHelp(OperatorParser.HelpContext ctx) { return visitChildren(ctx); }
 	/**
 	 * {@inheritDoc}
 	 *
 	 * <p>The default implementation returns the result of calling
 	 * {@link #visitChildren} on {@code ctx}.</p>
 	 */
-	@Override public T visitShowQuarantine(OperatorParser.ShowQuarantineContext ctx) { return visitChildren(ctx); }
+	@Override public T visitShowConfiguration(OperatorParser.ShowConfigurationContext ctx) { return visitChildren(ctx); }
 	/**
 	 * {@inheritDoc}
 	 *
 	 * <p>The default implementation returns the result of calling
 	 * {@link #visitChildren} on {@code ctx}.</p>
 	 */
-	@Override public T visitShowShed(OperatorParser.ShowShedContext ctx) { return visitChildren(ctx); }
+	@Override public T visitShowHistory(OperatorParser.ShowHistoryContext ctx) { return visitChildren(ctx); }
 	/**
 	 * {@inheritDoc}
 	 *
 	 * <p>The default implementation returns the result of calling
 	 * {@link #visitChildren} on {@code ctx}.</p>
 	 */
-	@Override public T visitShowChange(OperatorParser.ShowChangeContext ctx) { return visitChildren(ctx); }
+	@Override public T visitShowHosts(OperatorParser.ShowHostsContext ctx) { return visitChildren(ctx); }
 	/**
 	 * {@inheritDoc}
 	 *
 	 * <p>The default implementation returns the result of calling
 	 * {@link #visitChildren} on {@code ctx}.</p>
 	 */
-	@Override public T visitExplain(OperatorParser.ExplainContext ctx) { return visitChildren(ctx); }
+	@Override public T visitShowQuarantine(OperatorParser.ShowQuarantineContext ctx) { return visitChildren(ctx); }
 	/**
 	 * {@inheritDoc}
 	 *
 	 * <p>The default implementation returns the result of calling
 	 * {@link #visitChildren} on {@code ctx}.</p>
 	 */
-	@Override public T visitHelp(OperatorParser.HelpContext ctx) { return visitChildren(ctx); }
+	@Override public T visitShowShed(OperatorParser.ShowShedContext ctx) { return visitChildren(ctx); }
+	/**
+	 * {@inheritDoc}
+	 *
+	 * <p>The default implementation returns the result of calling
+	 * {@link #visitChildren} on {@code ctx}.</p>
+	 */
+	@Override public T visitShowChange(OperatorParser.ShowChangeContext ctx) { return visitChildren(ctx); }
 	/**
 	 * {@inheritDoc}
 	 *
--- a/language/src/main/java/org/anvillatch/language/grammar/OperatorParser.java
+++ b/language/src/main/java/org/anvillatch/language/grammar/OperatorParser.java
@@ -24,12 +24,13 @@
 		DEADLINE=30, MS=31, HOST=32, DOMAIN=33, REASON=34, NUMBER=35, WORD=36, 
 		SPACE=37, COMMENT=38, OTHER=39;
 	public static final int
-		RULE_script = 0, RULE_condition = 1, RULE_statement = 2, RULE_operationPart = 3, 
-		RULE_scope = 4, RULE_grouping = 5, RULE_number = 6, RULE_name = 7;
+		RULE_script = 0, RULE_condition = 1, RULE_statement = 2, RULE_topic = 3, 
+		RULE_operationPart = 4, RULE_scope = 5, RULE_grouping = 6, RULE_number = 7, 
+		RULE_name = 8;
 	private static String[] makeRuleNames() {
 		return new String[] {
-			"script", "condition", "statement", "operationPart", "scope", "grouping", 
-			"number", "name"
+			"script", "condition", "statement", "topic", "operationPart", "scope", 
+			"grouping", "number", "name"
 		};
 	}
 	public static final String[] ruleNames = makeRuleNames();
@@ -137,47 +138,47 @@
 			int _alt;
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(17);
+			setState(19);
 			_errHandler.sync(this);
 			_la = _input.LA(1);
 			if (_la==IF) {
 				{
-				setState(16);
+				setState(18);
 				condition();
 				}
 			}
 
-			setState(19);
+			setState(21);
 			statement();
-			setState(24);
+			setState(26);
 			_errHandler.sync(this);
 			_alt = getInterpreter().adaptivePredict(_input,1,_ctx);
 			while ( _alt!=2 && _alt!=org.antlr.v4.runtime.atn.ATN.INVALID_ALT_NUMBER ) {
 				if ( _alt==1 ) {
 					{
 					{
-					setState(20);
+					setState(22);
 					match(T__0);
-					setState(21);
+					setState(23);
 					statement();
 					}
 					} 
 				}
-				setState(26);
+				setState(28);
 				_errHandler.sync(this);
 				_alt = getInterpreter().adaptivePredict(_input,1,_ctx);
 			}
-			setState(28);
+			setState(30);
 			_errHandler.sync(this);
 			_la = _input.LA(1);
 			if (_la==T__0) {
 				{
-				setState(27);
+				setState(29);
 				match(T__0);
 				}
 			}
 
-			setState(30);
+			setState(32);
 			match(EOF);
 			}
 		}
@@ -216,11 +217,11 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(32);
+			setState(34);
 			match(IF);
-			setState(33);
+			setState(35);
 			match(VERSION);
-			setState(34);
+			setState(36);
 			number();
 			}
 		}
@@ -262,16 +263,28 @@
 		}
 	}
 	@SuppressWarnings("CheckReturnValue")
-	public static class ShowChangeContext extends StatementContext {
-		public TerminalNode SHOW() { return getToken(OperatorParser.SHOW, 0); }
-		public TerminalNode CHANGE() { return getToken(OperatorParser.CHANGE, 0); }
+	public static class HelpContext extends StatementContext {
+		public TerminalNode HELP() { return getToken(OperatorParser.HELP, 0); }
+		public HelpContext(StatementContext ctx) { copyFrom(ctx); }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitHelp(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+	@SuppressWarnings("CheckReturnValue")
+	public static class ReturnToServiceContext extends StatementContext {
+		public TerminalNode RETURN() { return getToken(OperatorParser.RETURN, 0); }
+		public ScopeContext scope() {
+			return getRuleContext(ScopeContext.class,0);
+		}
 		public NameContext name() {
 			return getRuleContext(NameContext.class,0);
 		}
-		public ShowChangeContext(StatementContext ctx) { copyFrom(ctx); }
+		public ReturnToServiceContext(StatementContext ctx) { copyFrom(ctx); }
 		@Override
 		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
-			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitShowChange(this);
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitReturnToService(this);
 			else return visitor.visitChildren(this);
 		}
 	}
@@ -303,88 +316,15 @@
 		}
 	}
 	@SuppressWarnings("CheckReturnValue")
-	public static class ShowConfigurationContext extends StatementContext {
+	public static class ShowContext extends StatementContext {
 		public TerminalNode SHOW() { return getToken(OperatorParser.SHOW, 0); }
-		public TerminalNode CONFIGURATION() { return getToken(OperatorParser.CONFIGURATION, 0); }
-		public ShowConfigurationContext(StatementContext ctx) { copyFrom(ctx); }
-		@Override
-		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
-			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitShowConfiguration(this);
-			else return visitor.visitChildren(this);
-		}
-	}
-	@SuppressWarnings("CheckReturnValue")
-	public static class ShowHostsContext extends StatementContext {
-		public TerminalNode SHOW() { return getToken(OperatorParser.SHOW, 0); }
-		public TerminalNode HOSTS() { return getToken(OperatorParser.HOSTS, 0); }
-		public ShowHostsContext(StatementContext ctx) { copyFrom(ctx); }
-		@Override
-		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
-			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitShowHosts(this);
-			else return visitor.visitChildren(this);
-		}
-	}
-	@SuppressWarnings("CheckReturnValue")
-	public static class DrainContext extends StatementContext {
-		public TerminalNode DRAIN() { return getToken(OperatorParser.DRAIN, 0); }
-		public ScopeContext scope() {
-			return getRuleContext(ScopeContext.class,0);
-		}
-		public NameContext name() {
-			return getRuleContext(NameContext.class,0);
-		}
-		public DrainContext(StatementContext ctx) { copyFrom(ctx); }
-		@Override
-		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
-			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitDrain(this);
-			else return visitor.visitChildren(this);
-		}
-	}
-	@SuppressWarnings("CheckReturnValue")
-	public static class HelpContext extends StatementContext {
-		public TerminalNode HELP() { return getToken(OperatorParser.HELP, 0); }
-		public HelpContext(StatementContext ctx) { copyFrom(ctx); }
-		@Override
-		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
-			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitHelp(this);
-			else return visitor.visitChildren(this);
-		}
-	}
-	@SuppressWarnings("CheckReturnValue")
-	public static class ShowQuarantineContext extends StatementContext {
-		public TerminalNode SHOW() { return getToken(OperatorParser.SHOW, 0); }
-		public TerminalNode QUARANTINE() { return getToken(OperatorParser.QUARANTINE, 0); }
-		public ShowQuarantineContext(StatementContext ctx) { copyFrom(ctx); }
-		@Override
-		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
-			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitShowQuarantine(this);
-			else return visitor.visitChildren(this);
-		}
-	}
-	@SuppressWarnings("CheckReturnValue")
-	public static class ReturnToServiceContext extends StatementContext {
-		public TerminalNode RETURN() { return getToken(OperatorParser.RETURN, 0); }
-		public ScopeContext scope() {
-			return getRuleContext(ScopeContext.class,0);
-		}
-		public NameContext name() {
-			return getRuleContext(NameContext.class,0);
+		public TopicContext topic() {
+			return getRuleContext(TopicContext.class,0);
 		}
-		public ReturnToServiceContext(StatementContext ctx) { copyFrom(ctx); }
+		public ShowContext(StatementContext ctx) { copyFrom(ctx); }
 		@Override
 		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
-			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitReturnToService(this);
-			else return visitor.visitChildren(this);
-		}
-	}
-	@SuppressWarnings("CheckReturnValue")
-	public static class ShowHistoryContext extends StatementContext {
-		public TerminalNode SHOW() { return getToken(OperatorParser.SHOW, 0); }
-		public TerminalNode HISTORY() { return getToken(OperatorParser.HISTORY, 0); }
-		public ShowHistoryContext(StatementContext ctx) { copyFrom(ctx); }
-		@Override
-		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
-			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitShowHistory(this);
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitShow(this);
 			else return visitor.visitChildren(this);
 		}
 	}
@@ -419,30 +359,6 @@
 		}
 	}
 	@SuppressWarnings("CheckReturnValue")
-	public static class ShowShedContext extends StatementContext {
-		public TerminalNode SHOW() { return getToken(OperatorParser.SHOW, 0); }
-		public TerminalNode SHED() { return getToken(OperatorParser.SHED, 0); }
-		public TerminalNode BY() { return getToken(OperatorParser.BY, 0); }
-		public GroupingContext grouping() {
-			return getRuleContext(GroupingContext.class,0);
-		}
-		public TerminalNode TOP() { return getToken(OperatorParser.TOP, 0); }
-		public List<NumberContext> number() {
-			return getRuleContexts(NumberContext.class);
-		}
-		public NumberContext number(int i) {
-			return getRuleContext(NumberContext.class,i);
-		}
-		public TerminalNode LAST() { return getToken(OperatorParser.LAST, 0); }
-		public TerminalNode SECONDS() { return getToken(OperatorParser.SECONDS, 0); }
-		public ShowShedContext(StatementContext ctx) { copyFrom(ctx); }
-		@Override
-		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
-			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitShowShed(this);
-			else return visitor.visitChildren(this);
-		}
-	}
-	@SuppressWarnings("CheckReturnValue")
 	public static class OperationContext extends StatementContext {
 		public TerminalNode OPERATION() { return getToken(OperatorParser.OPERATION, 0); }
 		public List<NameContext> name() {
@@ -464,247 +380,375 @@
 			else return visitor.visitChildren(this);
 		}
 	}
+	@SuppressWarnings("CheckReturnValue")
+	public static class DrainContext extends StatementContext {
+		public TerminalNode DRAIN() { return getToken(OperatorParser.DRAIN, 0); }
+		public ScopeContext scope() {
+			return getRuleContext(ScopeContext.class,0);
+		}
+		public NameContext name() {
+			return getRuleContext(NameContext.class,0);
+		}
+		public DrainContext(StatementContext ctx) { copyFrom(ctx); }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitDrain(this);
+			else return visitor.visitChildren(this);
+		}
+	}
 
 	public final StatementContext statement() throws RecognitionException {
 		StatementContext _localctx = new StatementContext(_ctx, getState());
 		enterRule(_localctx, 4, RULE_statement);
 		int _la;
 		try {
-			setState(102);
+			setState(79);
 			_errHandler.sync(this);
-			switch ( getInterpreter().adaptivePredict(_input,8,_ctx) ) {
-			case 1:
+			switch (_input.LA(1)) {
+			case IMPORTANCE:
 				_localctx = new ImportanceOrderContext(_localctx);
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(36);
+				setState(38);
 				match(IMPORTANCE);
-				setState(37);
+				setState(39);
 				match(ORDER);
-				setState(38);
+				setState(40);
 				name();
-				setState(43);
+				setState(45);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 				while (_la==T__1) {
 					{
 					{
-					setState(39);
+					setState(41);
 					match(T__1);
-					setState(40);
+					setState(42);
 					name();
 					}
 					}
-					setState(45);
+					setState(47);
 					_errHandler.sync(this);
 					_la = _input.LA(1);
 				}
 				}
 				break;
-			case 2:
+			case OPERATION:
 				_localctx = new OperationContext(_localctx);
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(46);
+				setState(48);
 				match(OPERATION);
-				setState(47);
+				setState(49);
 				name();
-				setState(48);
+				setState(50);
 				match(T__2);
-				setState(49);
+				setState(51);
 				name();
-				setState(53);
+				setState(55);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 				while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 1879048256L) != 0)) {
 					{
 					{
-					setState(50);
+					setState(52);
 					operationPart();
 					}
 					}
-					setState(55);
+					setState(57);
 					_errHandler.sync(this);
 					_la = _input.LA(1);
 				}
 				}
 				break;
-			case 3:
+			case RETRY:
 				_localctx = new RetryBoundContext(_localctx);
 				enterOuterAlt(_localctx, 3);
 				{
-				setState(56);
+				setState(58);
 				match(RETRY);
-				setState(57);
+				setState(59);
 				match(BOUND);
-				setState(58);
+				setState(60);
 				number();
 				}
 				break;
-			case 4:
+			case DRAIN:
 				_localctx = new DrainContext(_localctx);
 				enterOuterAlt(_localctx, 4);
 				{
-				setState(59);
+				setState(61);
 				match(DRAIN);
-				setState(60);
+				setState(62);
 				scope();
-				setState(61);
+				setState(63);
 				name();
 				}
 				break;
-			case 5:
+			case RETURN:
 				_localctx = new ReturnToServiceContext(_localctx);
 				enterOuterAlt(_localctx, 5);
 				{
-				setState(63);
+				setState(65);
 				match(RETURN);
-				setState(64);
+				setState(66);
 				scope();
-				setState(65);
+				setState(67);
 				name();
 				}
 				break;
-			case 6:
+			case QUARANTINE:
 				_localctx = new QuarantineContext(_localctx);
 				enterOuterAlt(_localctx, 6);
 				{
-				setState(67);
+				setState(69);
 				match(QUARANTINE);
-				setState(68);
+				setState(70);
 				name();
 				}
 				break;
-			case 7:
+			case RELEASE:
 				_localctx = new ReleaseContext(_localctx);
 				enterOuterAlt(_localctx, 7);
 				{
-				setState(69);
+				setState(71);
 				match(RELEASE);
-				setState(70);
+				setState(72);
 				name();
 				}
 				break;
-			case 8:
-				_localctx = new ShowConfigurationContext(_localctx);
+			case SHOW:
+				_localctx = new ShowContext(_localctx);
 				enterOuterAlt(_localctx, 8);
 				{
-				setState(71);
+				setState(73);
 				match(SHOW);
-				setState(72);
+				setState(74);
+				topic();
+				}
+				break;
+			case EXPLAIN:
+				_localctx = new ExplainContext(_localctx);
+				enterOuterAlt(_localctx, 9);
+				{
+				setState(75);
+				match(EXPLAIN);
+				setState(76);
+				match(REQUEST);
+				setState(77);
+				name();
+				}
+				break;
+			case HELP:
+				_localctx = new HelpContext(_localctx);
+				enterOuterAlt(_localctx, 10);
+				{
+				setState(78);
+				match(HELP);
+				}
+				break;
+			default:
+				throw new NoViableAltException(this);
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
+	@SuppressWarnings("CheckReturnValue")
+	public static class TopicContext extends ParserRuleContext {
+		public TopicContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_topic; }
+	 
+		public TopicContext() { }
+		public void copyFrom(TopicContext ctx) {
+			super.copyFrom(ctx);
+		}
+	}
+	@SuppressWarnings("CheckReturnValue")
+	public static class ShowQuarantineContext extends TopicContext {
+		public TerminalNode QUARANTINE() { return getToken(OperatorParser.QUARANTINE, 0); }
+		public ShowQuarantineContext(TopicContext ctx) { copyFrom(ctx); }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitShowQuarantine(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+	@SuppressWarnings("CheckReturnValue")
+	public static class ShowChangeContext extends TopicContext {
+		public TerminalNode CHANGE() { return getToken(OperatorParser.CHANGE, 0); }
+		public NameContext name() {
+			return getRuleContext(NameContext.class,0);
+		}
+		public ShowChangeContext(TopicContext ctx) { copyFrom(ctx); }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitShowChange(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+	@SuppressWarnings("CheckReturnValue")
+	public static class ShowHistoryContext extends TopicContext {
+		public TerminalNode HISTORY() { return getToken(OperatorParser.HISTORY, 0); }
+		public ShowHistoryContext(TopicContext ctx) { copyFrom(ctx); }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitShowHistory(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+	@SuppressWarnings("CheckReturnValue")
+	public static class ShowConfigurationContext extends TopicContext {
+		public TerminalNode CONFIGURATION() { return getToken(OperatorParser.CONFIGURATION, 0); }
+		public ShowConfigurationContext(TopicContext ctx) { copyFrom(ctx); }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitShowConfiguration(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+	@SuppressWarnings("CheckReturnValue")
+	public static class ShowHostsContext extends TopicContext {
+		public TerminalNode HOSTS() { return getToken(OperatorParser.HOSTS, 0); }
+		public ShowHostsContext(TopicContext ctx) { copyFrom(ctx); }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitShowHosts(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+	@SuppressWarnings("CheckReturnValue")
+	public static class ShowShedContext extends TopicContext {
+		public TerminalNode SHED() { return getToken(OperatorParser.SHED, 0); }
+		public TerminalNode BY() { return getToken(OperatorParser.BY, 0); }
+		public GroupingContext grouping() {
+			return getRuleContext(GroupingContext.class,0);
+		}
+		public TerminalNode TOP() { return getToken(OperatorParser.TOP, 0); }
+		public List<NumberContext> number() {
+			return getRuleContexts(NumberContext.class);
+		}
+		public NumberContext number(int i) {
+			return getRuleContext(NumberContext.class,i);
+		}
+		public TerminalNode LAST() { return getToken(OperatorParser.LAST, 0); }
+		public TerminalNode SECONDS() { return getToken(OperatorParser.SECONDS, 0); }
+		public ShowShedContext(TopicContext ctx) { copyFrom(ctx); }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitShowShed(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final TopicContext topic() throws RecognitionException {
+		TopicContext _localctx = new TopicContext(_ctx, getState());
+		enterRule(_localctx, 6, RULE_topic);
+		int _la;
+		try {
+			setState(102);
+			_errHandler.sync(this);
+			switch (_input.LA(1)) {
+			case CONFIGURATION:
+				_localctx = new ShowConfigurationContext(_localctx);
+				enterOuterAlt(_localctx, 1);
+				{
+				setState(81);
 				match(CONFIGURATION);
 				}
 				break;
-			case 9:
+			case HISTORY:
 				_localctx = new ShowHistoryContext(_localctx);
-				enterOuterAlt(_localctx, 9);
+				enterOuterAlt(_localctx, 2);
 				{
-				setState(73);
-				match(SHOW);
-				setState(74);
+				setState(82);
 				match(HISTORY);
 				}
 				break;
-			case 10:
+			case HOSTS:
 				_localctx = new ShowHostsContext(_localctx);
-				enterOuterAlt(_localctx, 10);
+				enterOuterAlt(_localctx, 3);
 				{
-				setState(75);
-				match(SHOW);
-				setState(76);
+				setState(83);
 				match(HOSTS);
 				}
 				break;
-			case 11:
+			case QUARANTINE:
 				_localctx = new ShowQuarantineContext(_localctx);
-				enterOuterAlt(_localctx, 11);
+				enterOuterAlt(_localctx, 4);
 				{
-				setState(77);
-				match(SHOW);
-				setState(78);
+				setState(84);
 				match(QUARANTINE);
 				}
 				break;
-			case 12:
+			case SHED:
 				_localctx = new ShowShedContext(_localctx);
-				enterOuterAlt(_localctx, 12);
+				enterOuterAlt(_localctx, 5);
 				{
-				setState(79);
-				match(SHOW);
-				setState(80);
+				setState(85);
 				match(SHED);
-				setState(83);
+				setState(88);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 				if (_la==BY) {
 					{
-					setState(81);
+					setState(86);
 					match(BY);
-					setState(82);
+					setState(87);
 					grouping();
 					}
 				}
 
-				setState(87);
+				setState(92);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 				if (_la==TOP) {
 					{
-					setState(85);
+					setState(90);
 					match(TOP);
-					setState(86);
+					setState(91);
 					number();
 					}
 				}
 
-				setState(93);
+				setState(98);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 				if (_la==LAST) {
 					{
-					setState(89);
+					setState(94);
 					match(LAST);
-					setState(90);
+					setState(95);
 					number();
-					setState(91);
+					setState(96);
 					match(SECONDS);
 					}
 				}
 
 				}
 				break;
-			case 13:
+			case CHANGE:
 				_localctx = new ShowChangeContext(_localctx);
-				enterOuterAlt(_localctx, 13);
-				{
-				setState(95);
-				match(SHOW);
-				setState(96);
-				match(CHANGE);
-				setState(97);
-				name();
-				}
-				break;
-			case 14:
-				_localctx = new ExplainContext(_localctx);
-				enterOuterAlt(_localctx, 14);
+				enterOuterAlt(_localctx, 6);
 				{
-				setState(98);
-				match(EXPLAIN);
-				setState(99);
-				match(REQUEST);
 				setState(100);
-				name();
-				}
-				break;
-			case 15:
-				_localctx = new HelpContext(_localctx);
-				enterOuterAlt(_localctx, 15);
-				{
+				match(CHANGE);
 				setState(101);
-				match(HELP);
+				name();
 				}
 				break;
+			default:
+				throw new NoViableAltException(this);
 			}
 		}
 		catch (RecognitionException re) {
@@ -744,7 +788,7 @@
 
 	public final OperationPartContext operationPart() throws RecognitionException {
 		OperationPartContext _localctx = new OperationPartContext(_ctx, getState());
-		enterRule(_localctx, 6, RULE_operationPart);
+		enterRule(_localctx, 8, RULE_operationPart);
 		int _la;
 		try {
 			setState(114);
@@ -820,7 +864,7 @@
 
 	public final ScopeContext scope() throws RecognitionException {
 		ScopeContext _localctx = new ScopeContext(_ctx, getState());
-		enterRule(_localctx, 8, RULE_scope);
+		enterRule(_localctx, 10, RULE_scope);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
@@ -867,7 +911,7 @@
 
 	public final GroupingContext grouping() throws RecognitionException {
 		GroupingContext _localctx = new GroupingContext(_ctx, getState());
-		enterRule(_localctx, 10, RULE_grouping);
+		enterRule(_localctx, 12, RULE_grouping);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
@@ -911,7 +955,7 @@
 
 	public final NumberContext number() throws RecognitionException {
 		NumberContext _localctx = new NumberContext(_ctx, getState());
-		enterRule(_localctx, 12, RULE_number);
+		enterRule(_localctx, 14, RULE_number);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
@@ -978,7 +1022,7 @@
 
 	public final NameContext name() throws RecognitionException {
 		NameContext _localctx = new NameContext(_ctx, getState());
-		enterRule(_localctx, 14, RULE_name);
+		enterRule(_localctx, 16, RULE_name);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
@@ -1009,81 +1053,80 @@
 	public static final String _serializedATN =
 		"\u0004\u0001\'}\u0002\u0000\u0007\u0000\u0002\u0001\u0007\u0001\u0002"+
 		"\u0002\u0007\u0002\u0002\u0003\u0007\u0003\u0002\u0004\u0007\u0004\u0002"+
-		"\u0005\u0007\u0005\u0002\u0006\u0007\u0006\u0002\u0007\u0007\u0007\u0001"+
-		"\u0000\u0003\u0000\u0012\b\u0000\u0001\u0000\u0001\u0000\u0001\u0000\u0005"+
-		"\u0000\u0017\b\u0000\n\u0000\f\u0000\u001a\t\u0000\u0001\u0000\u0003\u0000"+
-		"\u001d\b\u0000\u0001\u0000\u0001\u0000\u0001\u0001\u0001\u0001\u0001\u0001"+
-		"\u0001\u0001\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002"+
-		"\u0005\u0002*\b\u0002\n\u0002\f\u0002-\t\u0002\u0001\u0002\u0001\u0002"+
-		"\u0001\u0002\u0001\u0002\u0001\u0002\u0005\u00024\b\u0002\n\u0002\f\u0002"+
-		"7\t\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002"+
-		"\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002"+
-		"\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002"+
-		"\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002"+
-		"\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0003\u0002T\b\u0002"+
-		"\u0001\u0002\u0001\u0002\u0003\u0002X\b\u0002\u0001\u0002\u0001\u0002"+
-		"\u0001\u0002\u0001\u0002\u0003\u0002^\b\u0002\u0001\u0002\u0001\u0002"+
-		"\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0003\u0002"+
-		"g\b\u0002\u0001\u0003\u0001\u0003\u0001\u0003\u0003\u0003l\b\u0003\u0001"+
-		"\u0003\u0001\u0003\u0001\u0003\u0001\u0003\u0001\u0003\u0003\u0003s\b"+
-		"\u0003\u0001\u0004\u0001\u0004\u0001\u0005\u0001\u0005\u0001\u0006\u0001"+
-		"\u0006\u0001\u0007\u0001\u0007\u0001\u0007\u0000\u0000\b\u0000\u0002\u0004"+
-		"\u0006\b\n\f\u000e\u0000\u0003\u0001\u0000 !\u0004\u0000\u0006\u0006\b"+
-		"\b  \"\"\u0001\u0000\u0004$\u008d\u0000\u0011\u0001\u0000\u0000\u0000"+
-		"\u0002 \u0001\u0000\u0000\u0000\u0004f\u0001\u0000\u0000\u0000\u0006r"+
-		"\u0001\u0000\u0000\u0000\bt\u0001\u0000\u0000\u0000\nv\u0001\u0000\u0000"+
-		"\u0000\fx\u0001\u0000\u0000\u0000\u000ez\u0001\u0000\u0000\u0000\u0010"+
-		"\u0012\u0003\u0002\u0001\u0000\u0011\u0010\u0001\u0000\u0000\u0000\u0011"+
-		"\u0012\u0001\u0000\u0000\u0000\u0012\u0013\u0001\u0000\u0000\u0000\u0013"+
-		"\u0018\u0003\u0004\u0002\u0000\u0014\u0015\u0005\u0001\u0000\u0000\u0015"+
-		"\u0017\u0003\u0004\u0002\u0000\u0016\u0014\u0001\u0000\u0000\u0000\u0017"+
-		"\u001a\u0001\u0000\u0000\u0000\u0018\u0016\u0001\u0000\u0000\u0000\u0018"+
-		"\u0019\u0001\u0000\u0000\u0000\u0019\u001c\u0001\u0000\u0000\u0000\u001a"+
-		"\u0018\u0001\u0000\u0000\u0000\u001b\u001d\u0005\u0001\u0000\u0000\u001c"+
-		"\u001b\u0001\u0000\u0000\u0000\u001c\u001d\u0001\u0000\u0000\u0000\u001d"+
-		"\u001e\u0001\u0000\u0000\u0000\u001e\u001f\u0005\u0000\u0000\u0001\u001f"+
-		"\u0001\u0001\u0000\u0000\u0000 !\u0005\u0004\u0000\u0000!\"\u0005\u0005"+
-		"\u0000\u0000\"#\u0003\f\u0006\u0000#\u0003\u0001\u0000\u0000\u0000$%\u0005"+
-		"\u0006\u0000\u0000%&\u0005\u0007\u0000\u0000&+\u0003\u000e\u0007\u0000"+
-		"\'(\u0005\u0002\u0000\u0000(*\u0003\u000e\u0007\u0000)\'\u0001\u0000\u0000"+
-		"\u0000*-\u0001\u0000\u0000\u0000+)\u0001\u0000\u0000\u0000+,\u0001\u0000"+
-		"\u0000\u0000,g\u0001\u0000\u0000\u0000-+\u0001\u0000\u0000\u0000./\u0005"+
-		"\b\u0000\u0000/0\u0003\u000e\u0007\u000001\u0005\u0003\u0000\u000015\u0003"+
-		"\u000e\u0007\u000024\u0003\u0006\u0003\u000032\u0001\u0000\u0000\u0000"+
-		"47\u0001\u0000\u0000\u000053\u0001\u0000\u0000\u000056\u0001\u0000\u0000"+
-		"\u00006g\u0001\u0000\u0000\u000075\u0001\u0000\u0000\u000089\u0005\t\u0000"+
-		"\u00009:\u0005\n\u0000\u0000:g\u0003\f\u0006\u0000;<\u0005\u000b\u0000"+
-		"\u0000<=\u0003\b\u0004\u0000=>\u0003\u000e\u0007\u0000>g\u0001\u0000\u0000"+
-		"\u0000?@\u0005\f\u0000\u0000@A\u0003\b\u0004\u0000AB\u0003\u000e\u0007"+
-		"\u0000Bg\u0001\u0000\u0000\u0000CD\u0005\r\u0000\u0000Dg\u0003\u000e\u0007"+
-		"\u0000EF\u0005\u000e\u0000\u0000Fg\u0003\u000e\u0007\u0000GH\u0005\u000f"+
-		"\u0000\u0000Hg\u0005\u0010\u0000\u0000IJ\u0005\u000f\u0000\u0000Jg\u0005"+
-		"\u0011\u0000\u0000KL\u0005\u000f\u0000\u0000Lg\u0005\u0012\u0000\u0000"+
-		"MN\u0005\u000f\u0000\u0000Ng\u0005\r\u0000\u0000OP\u0005\u000f\u0000\u0000"+
-		"PS\u0005\u0013\u0000\u0000QR\u0005\u0014\u0000\u0000RT\u0003\n\u0005\u0000"+
-		"SQ\u0001\u0000\u0000\u0000ST\u0001\u0000\u0000\u0000TW\u0001\u0000\u0000"+
-		"\u0000UV\u0005\u0015\u0000\u0000VX\u0003\f\u0006\u0000WU\u0001\u0000\u0000"+
-		"\u0000WX\u0001\u0000\u0000\u0000X]\u0001\u0000\u0000\u0000YZ\u0005\u0016"+
-		"\u0000\u0000Z[\u0003\f\u0006\u0000[\\\u0005\u0017\u0000\u0000\\^\u0001"+
-		"\u0000\u0000\u0000]Y\u0001\u0000\u0000\u0000]^\u0001\u0000\u0000\u0000"+
-		"^g\u0001\u0000\u0000\u0000_`\u0005\u000f\u0000\u0000`a\u0005\u0018\u0000"+
-		"\u0000ag\u0003\u000e\u0007\u0000bc\u0005\u0019\u0000\u0000cd\u0005\u001a"+
-		"\u0000\u0000dg\u0003\u000e\u0007\u0000eg\u0005\u001b\u0000\u0000f$\u0001"+
-		"\u0000\u0000\u0000f.\u0001\u0000\u0000\u0000f8\u0001\u0000\u0000\u0000"+
-		"f;\u0001\u0000\u0000\u0000f?\u0001\u0000\u0000\u0000fC\u0001\u0000\u0000"+
-		"\u0000fE\u0001\u0000\u0000\u0000fG\u0001\u0000\u0000\u0000fI\u0001\u0000"+
-		"\u0000\u0000fK\u0001\u0000\u0000\u0000fM\u0001\u0000\u0000\u0000fO\u0001"+
-		"\u0000\u0000\u0000f_\u0001\u0000\u0000\u0000fb\u0001\u0000\u0000\u0000"+
-		"fe\u0001\u0000\u0000\u0000g\u0005\u0001\u0000\u0000\u0000hi\u0005\u0006"+
-		"\u0000\u0000is\u0003\u000e\u0007\u0000jl\u0005\u001c\u0000\u0000kj\u0001"+
-		"\u0000\u0000\u0000kl\u0001\u0000\u0000\u0000lm\u0001\u0000\u0000\u0000"+
-		"ms\u0005\u001d\u0000\u0000no\u0005\u001e\u0000\u0000op\u0003\f\u0006\u0000"+
-		"pq\u0005\u001f\u0000\u0000qs\u0001\u0000\u0000\u0000rh\u0001\u0000\u0000"+
-		"\u0000rk\u0001\u0000\u0000\u0000rn\u0001\u0000\u0000\u0000s\u0007\u0001"+
-		"\u0000\u0000\u0000tu\u0007\u0000\u0000\u0000u\t\u0001\u0000\u0000\u0000"+
-		"vw\u0007\u0001\u0000\u0000w\u000b\u0001\u0000\u0000\u0000xy\u0005#\u0000"+
-		"\u0000y\r\u0001\u0000\u0000\u0000z{\u0007\u0002\u0000\u0000{\u000f\u0001"+
-		"\u0000\u0000\u0000\u000b\u0011\u0018\u001c+5SW]fkr";
+		"\u0005\u0007\u0005\u0002\u0006\u0007\u0006\u0002\u0007\u0007\u0007\u0002"+
+		"\b\u0007\b\u0001\u0000\u0003\u0000\u0014\b\u0000\u0001\u0000\u0001\u0000"+
+		"\u0001\u0000\u0005\u0000\u0019\b\u0000\n\u0000\f\u0000\u001c\t\u0000\u0001"+
+		"\u0000\u0003\u0000\u001f\b\u0000\u0001\u0000\u0001\u0000\u0001\u0001\u0001"+
+		"\u0001\u0001\u0001\u0001\u0001\u0001\u0002\u0001\u0002\u0001\u0002\u0001"+
+		"\u0002\u0001\u0002\u0005\u0002,\b\u0002\n\u0002\f\u0002/\t\u0002\u0001"+
+		"\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0005\u00026\b"+
+		"\u0002\n\u0002\f\u00029\t\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001"+
+		"\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001"+
+		"\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001"+
+		"\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0003"+
+		"\u0002P\b\u0002\u0001\u0003\u0001\u0003\u0001\u0003\u0001\u0003\u0001"+
+		"\u0003\u0001\u0003\u0001\u0003\u0003\u0003Y\b\u0003\u0001\u0003\u0001"+
+		"\u0003\u0003\u0003]\b\u0003\u0001\u0003\u0001\u0003\u0001\u0003\u0001"+
+		"\u0003\u0003\u0003c\b\u0003\u0001\u0003\u0001\u0003\u0003\u0003g\b\u0003"+
+		"\u0001\u0004\u0001\u0004\u0001\u0004\u0003\u0004l\b\u0004\u0001\u0004"+
+		"\u0001\u0004\u0001\u0004\u0001\u0004\u0001\u0004\u0003\u0004s\b\u0004"+
+		"\u0001\u0005\u0001\u0005\u0001\u0006\u0001\u0006\u0001\u0007\u0001\u0007"+
+		"\u0001\b\u0001\b\u0001\b\u0000\u0000\t\u0000\u0002\u0004\u0006\b\n\f\u000e"+
+		"\u0010\u0000\u0003\u0001\u0000 !\u0004\u0000\u0006\u0006\b\b  \"\"\u0001"+
+		"\u0000\u0004$\u008c\u0000\u0013\u0001\u0000\u0000\u0000\u0002\"\u0001"+
+		"\u0000\u0000\u0000\u0004O\u0001\u0000\u0000\u0000\u0006f\u0001\u0000\u0000"+
+		"\u0000\br\u0001\u0000\u0000\u0000\nt\u0001\u0000\u0000\u0000\fv\u0001"+
+		"\u0000\u0000\u0000\u000ex\u0001\u0000\u0000\u0000\u0010z\u0001\u0000\u0000"+
+		"\u0000\u0012\u0014\u0003\u0002\u0001\u0000\u0013\u0012\u0001\u0000\u0000"+
+		"\u0000\u0013\u0014\u0001\u0000\u0000\u0000\u0014\u0015\u0001\u0000\u0000"+
+		"\u0000\u0015\u001a\u0003\u0004\u0002\u0000\u0016\u0017\u0005\u0001\u0000"+
+		"\u0000\u0017\u0019\u0003\u0004\u0002\u0000\u0018\u0016\u0001\u0000\u0000"+
+		"\u0000\u0019\u001c\u0001\u0000\u0000\u0000\u001a\u0018\u0001\u0000\u0000"+
+		"\u0000\u001a\u001b\u0001\u0000\u0000\u0000\u001b\u001e\u0001\u0000\u0000"+
+		"\u0000\u001c\u001a\u0001\u0000\u0000\u0000\u001d\u001f\u0005\u0001\u0000"+
+		"\u0000\u001e\u001d\u0001\u0000\u0000\u0000\u001e\u001f\u0001\u0000\u0000"+
+		"\u0000\u001f \u0001\u0000\u0000\u0000 !\u0005\u0000\u0000\u0001!\u0001"+
+		"\u0001\u0000\u0000\u0000\"#\u0005\u0004\u0000\u0000#$\u0005\u0005\u0000"+
+		"\u0000$%\u0003\u000e\u0007\u0000%\u0003\u0001\u0000\u0000\u0000&\'\u0005"+
+		"\u0006\u0000\u0000\'(\u0005\u0007\u0000\u0000(-\u0003\u0010\b\u0000)*"+
+		"\u0005\u0002\u0000\u0000*,\u0003\u0010\b\u0000+)\u0001\u0000\u0000\u0000"+
+		",/\u0001\u0000\u0000\u0000-+\u0001\u0000\u0000\u0000-.\u0001\u0000\u0000"+
+		"\u0000.P\u0001\u0000\u0000\u0000/-\u0001\u0000\u0000\u000001\u0005\b\u0000"+
+		"\u000012\u0003\u0010\b\u000023\u0005\u0003\u0000\u000037\u0003\u0010\b"+
+		"\u000046\u0003\b\u0004\u000054\u0001\u0000\u0000\u000069\u0001\u0000\u0000"+
+		"\u000075\u0001\u0000\u0000\u000078\u0001\u0000\u0000\u00008P\u0001\u0000"+
+		"\u0000\u000097\u0001\u0000\u0000\u0000:;\u0005\t\u0000\u0000;<\u0005\n"+
+		"\u0000\u0000<P\u0003\u000e\u0007\u0000=>\u0005\u000b\u0000\u0000>?\u0003"+
+		"\n\u0005\u0000?@\u0003\u0010\b\u0000@P\u0001\u0000\u0000\u0000AB\u0005"+
+		"\f\u0000\u0000BC\u0003\n\u0005\u0000CD\u0003\u0010\b\u0000DP\u0001\u0000"+
+		"\u0000\u0000EF\u0005\r\u0000\u0000FP\u0003\u0010\b\u0000GH\u0005\u000e"+
+		"\u0000\u0000HP\u0003\u0010\b\u0000IJ\u0005\u000f\u0000\u0000JP\u0003\u0006"+
+		"\u0003\u0000KL\u0005\u0019\u0000\u0000LM\u0005\u001a\u0000\u0000MP\u0003"+
+		"\u0010\b\u0000NP\u0005\u001b\u0000\u0000O&\u0001\u0000\u0000\u0000O0\u0001"+
+		"\u0000\u0000\u0000O:\u0001\u0000\u0000\u0000O=\u0001\u0000\u0000\u0000"+
+		"OA\u0001\u0000\u0000\u0000OE\u0001\u0000\u0000\u0000OG\u0001\u0000\u0000"+
+		"\u0000OI\u0001\u0000\u0000\u0000OK\u0001\u0000\u0000\u0000ON\u0001\u0000"+
+		"\u0000\u0000P\u0005\u0001\u0000\u0000\u0000Qg\u0005\u0010\u0000\u0000"+
+		"Rg\u0005\u0011\u0000\u0000Sg\u0005\u0012\u0000\u0000Tg\u0005\r\u0000\u0000"+
+		"UX\u0005\u0013\u0000\u0000VW\u0005\u0014\u0000\u0000WY\u0003\f\u0006\u0000"+
+		"XV\u0001\u0000\u0000\u0000XY\u0001\u0000\u0000\u0000Y\\\u0001\u0000\u0000"+
+		"\u0000Z[\u0005\u0015\u0000\u0000[]\u0003\u000e\u0007\u0000\\Z\u0001\u0000"+
+		"\u0000\u0000\\]\u0001\u0000\u0000\u0000]b\u0001\u0000\u0000\u0000^_\u0005"+
+		"\u0016\u0000\u0000_`\u0003\u000e\u0007\u0000`a\u0005\u0017\u0000\u0000"+
+		"ac\u0001\u0000\u0000\u0000b^\u0001\u0000\u0000\u0000bc\u0001\u0000\u0000"+
+		"\u0000cg\u0001\u0000\u0000\u0000de\u0005\u0018\u0000\u0000eg\u0003\u0010"+
+		"\b\u0000fQ\u0001\u0000\u0000\u0000fR\u0001\u0000\u0000\u0000fS\u0001\u0000"+
+		"\u0000\u0000fT\u0001\u0000\u0000\u0000fU\u0001\u0000\u0000\u0000fd\u0001"+
+		"\u0000\u0000\u0000g\u0007\u0001\u0000\u0000\u0000hi\u0005\u0006\u0000"+
+		"\u0000is\u0003\u0010\b\u0000jl\u0005\u001c\u0000\u0000kj\u0001\u0000\u0000"+
+		"\u0000kl\u0001\u0000\u0000\u0000lm\u0001\u0000\u0000\u0000ms\u0005\u001d"+
+		"\u0000\u0000no\u0005\u001e\u0000\u0000op\u0003\u000e\u0007\u0000pq\u0005"+
+		"\u001f\u0000\u0000qs\u0001\u0000\u0000\u0000rh\u0001\u0000\u0000\u0000"+
+		"rk\u0001\u0000\u0000\u0000rn\u0001\u0000\u0000\u0000s\t\u0001\u0000\u0000"+
+		"\u0000tu\u0007\u0000\u0000\u0000u\u000b\u0001\u0000\u0000\u0000vw\u0007"+
+		"\u0001\u0000\u0000w\r\u0001\u0000\u0000\u0000xy\u0005#\u0000\u0000y\u000f"+
+		"\u0001\u0000\u0000\u0000z{\u0007\u0002\u0000\u0000{\u0011\u0001\u0000"+
+		"\u0000\u0000\f\u0013\u001a\u001e-7OX\\bfkr";
 	public static final ATN _ATN =
 		new ATNDeserializer().deserialize(_serializedATN.toCharArray());
 	static {
--- a/language/src/main/java/org/anvillatch/language/grammar/OperatorVisitor.java
+++ b/language/src/main/java/org/anvillatch/language/grammar/OperatorVisitor.java
@@ -72,61 +72,68 @@
 	 */
 	T visitRelease(OperatorParser.ReleaseContext ctx);
 	/**
-	 * Visit a parse tree produced by the {@code showConfiguration}
+	 * Visit a parse tree produced by the {@code show}
+	 * labeled alternative in {@link OperatorParser#statement}.
+	 * @param ctx the parse tree
+	 * @return the visitor result
+	 */
+	T visitShow(OperatorParser.ShowContext ctx);
+	/**
+	 * Visit a parse tree produced by the {@code explain}
+	 * labeled alternative in {@link OperatorParser#statement}.
+	 * @param ctx the parse tree
+	 * @return the visitor result
+	 */
+	T visitExplain(OperatorParser.ExplainContext ctx);
+	/**
+	 * Visit a parse tree produced by the {@code help}
 	 * labeled alternative in {@link OperatorParser#statement}.
 	 * @param ctx the parse tree
 	 * @return the visitor result
 	 */
+	T visitHelp(OperatorParser.HelpContext ctx);
+	/**
+	 * Visit a parse tree produced by the {@code showConfiguration}
+	 * labeled alternative in {@link OperatorParser#topic}.
+	 * @param ctx the parse tree
+	 * @return the visitor result
+	 */
 	T visitShowConfiguration(OperatorParser.ShowConfigurationContext ctx);
 	/**
 	 * Visit a parse tree produced by the {@code showHistory}
-	 * labeled alternative in {@link OperatorParser#statement}.
+	 * labeled alternative in {@link OperatorParser#topic}.
 	 * @param ctx the parse tree
 	 * @return the visitor result
 	 */
 	T visitShowHistory(OperatorParser.ShowHistoryContext ctx);
 	/**
 	 * Visit a parse tree produced by the {@code showHosts}
-	 * labeled alternative in {@link OperatorParser#statement}.
+	 * labeled alternative in {@link OperatorParser#topic}.
 	 * @param ctx the parse tree
 	 * @return the visitor result
 	 */
 	T visitShowHosts(OperatorParser.ShowHostsContext ctx);
 	/**
 	 * Visit a parse tree produced by the {@code showQuarantine}
-	 * labeled alternative in {@link OperatorParser#statement}.
+	 * labeled alternative in {@link OperatorParser#topic}.
 	 * @param ctx the parse tree
 	 * @return the visitor result
 	 */
 	T visitShowQuarantine(OperatorParser.ShowQuarantineContext ctx);
 	/**
 	 * Visit a parse tree produced by the {@code showShed}
-	 * labeled alternative in {@link OperatorParser#statement}.
+	 * labeled alternative in {@link OperatorParser#topic}.
 	 * @param ctx the parse tree
 	 * @return the visitor result
 	 */
 	T visitShowShed(OperatorParser.ShowShedContext ctx);
 	/**
 	 * Visit a parse tree produced by the {@code showChange}
-	 * labeled alternative in {@link OperatorParser#statement}.
+	 * labeled alternative in {@link OperatorParser#topic}.
 	 * @param ctx the parse tree
 	 * @return the visitor result
 	 */
 	T visitShowChange(OperatorParser.ShowChangeContext ctx);
-	/**
-	 * Visit a parse tree produced by the {@code explain}
-	 * labeled alternative in {@link OperatorParser#statement}.
-	 * @param ctx the parse tree
-	 * @return the visitor result
-	 */
-	T visitExplain(OperatorParser.ExplainContext ctx);
-	/**
-	 * Visit a parse tree produced by the {@code help}
-	 * labeled alternative in {@link OperatorParser#statement}.
-	 * @param ctx the parse tree
-	 * @return the visitor result
-	 */
-	T visitHelp(OperatorParser.HelpContext ctx);
 	/**
 	 * Visit a parse tree produced by {@link OperatorParser#operationPart}.
 	 * @param ctx the parse tree
--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -86,7 +86,8 @@
         ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("scheduler", true);
         state = createState(settings);
         DecisionLog log = new DecisionLog(settings.logFormat(), metrics);
-        PeerClient peers = new PeerClient(loop, threads, scheduler);
+        PeerClient peers =
+                new PeerClient(loop, threads, scheduler, settings.peerAddress().host());
         EndpointClient endpointClient = new EndpointClient(threads, scheduler);
         HttpPlatformLog platform = new HttpPlatformLog(settings.logAddress(), threads, scheduler);
         gatekeeping = new Gatekeeping(loop, state, endpointClient, log, metrics);
--- a/node/src/main/java/org/anvillatch/node/operator/ChangeCommand.java
+++ b/node/src/main/java/org/anvillatch/node/operator/ChangeCommand.java
@@ -129,11 +129,23 @@
                 author,
                 script.changes(),
                 VERDICT_WAIT_MICROS,
-                (verdict, append) -> decided(change, verdict, append, listener));
+                (verdict, append) -> decided(new Appended(change, basedOn), verdict, append, listener));
     }
 
+    /**
+     * A change whose record was given to the log.
+     *
+     * @param change identity of the change
+     * @param basedOn version it is based on
+     */
+    private record Appended(String change, long basedOn) {}
+
     private void decided(
-            String change, ChangeVerdict verdict, PlatformLog.AppendResult append, Consumer<CommandAnswer> listener) {
+            Appended appended,
+            ChangeVerdict verdict,
+            PlatformLog.AppendResult append,
+            Consumer<CommandAnswer> listener) {
+        String change = appended.change();
         long version = state.configuration().current().version();
         if (append == PlatformLog.AppendResult.NOT_APPENDED) {
             listener.accept(CommandAnswer.rejected(
@@ -152,7 +164,7 @@
         } else if (verdict.decision() == ChangeVerdict.Decision.ACCEPTED) {
             awaitDomains(change, verdict.offset(), loop.nowMicros() + DOMAIN_WAIT_MICROS, listener);
         } else if (verdict.decision() == ChangeVerdict.Decision.CONFLICT) {
-            listener.accept(conflict(verdict.offset() - 1, verdict.version()));
+            listener.accept(conflict(appended.basedOn(), verdict.version()));
         } else {
             listener.accept(CommandAnswer.rejected(
                     CommandAnswer.Result.INVALID, "nothing was changed", version, verdict.findings()));
--- a/node/src/main/java/org/anvillatch/node/peer/PeerClient.java
+++ b/node/src/main/java/org/anvillatch/node/peer/PeerClient.java
@@ -92,12 +92,14 @@
      * @param loop runs callbacks
      * @param executor runs reads
      * @param scheduler runs timeouts
+     * @param sourceHost IP number that connections come from, that of the peer address
      */
-    public PeerClient(DecisionLoop loop, Executor executor, Scheduler scheduler) {
+    public PeerClient(DecisionLoop loop, Executor executor, Scheduler scheduler, String sourceHost) {
         this.loop = loop;
         connector.setExecutor(executor);
         connector.setScheduler(scheduler);
         connector.setSelectors(1);
+        connector.setBindAddress(new InetSocketAddress(sourceHost, 0));
         connector.setConnectTimeout(CONNECT_TIMEOUT);
         connector.setIdleTimeout(IDLE_TIMEOUT);
     }
--- /dev/null
+++ b/node/src/test/java/org/anvillatch/node/peer/FrameCodecTest.java
@@ -0,0 +1,130 @@
+package org.anvillatch.node.peer;
+
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.Optional;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.anvillatch.decision.configuration.Configuration;
+import org.anvillatch.decision.configuration.ConfigurationChange;
+import org.anvillatch.decision.configuration.ConfigurationRecord;
+import org.anvillatch.decision.configuration.ConfigurationSnapshot;
+import org.anvillatch.decision.drain.EndpointPhase;
+import org.anvillatch.decision.membership.Member;
+import org.anvillatch.decision.membership.MemberStatus;
+import org.anvillatch.decision.model.HostIdentity;
+import org.anvillatch.decision.model.OperationName;
+import org.anvillatch.node.call.CallAnswer;
+import org.anvillatch.node.call.CallBody;
+import org.anvillatch.node.call.CallContext;
+import org.anvillatch.node.call.DispatchMessage;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+class FrameCodecTest {
+    private static final Member MEMBER = new Member(
+            new HostIdentity("glossary-1", 1_796_361_221_870L),
+            3,
+            "127.0.2.1:7403",
+            "pal-b",
+            "glossary",
+            15,
+            EndpointPhase.SERVING,
+            MemberStatus.ALIVE);
+
+    private static PeerMessage throughTheWire(PeerMessage message) throws FrameException {
+        ByteBuffer bytes = FrameCodec.encode(new Frame(77, true, message));
+        Optional<Frame> frame = FrameCodec.decode(bytes);
+        assertThat(frame.get().correlation()).isEqualTo(77);
+        assertThat(frame.get().answer()).isTrue();
+        assertThat(bytes.hasRemaining()).isFalse();
+        return frame.get().message();
+    }
+
+    @Test
+    void pingIsReadBack() throws FrameException {
+        PeerMessage ping = new GossipMessages.Ping(MEMBER, List.of(MEMBER), 4);
+        assertThat(throughTheWire(ping)).isEqualTo(ping);
+    }
+
+    @Test
+    void configurationIsReadBack() throws FrameException {
+        ConfigurationRecord entry =
+                new ConfigurationRecord("c", 1, "me", 2, List.of(new ConfigurationChange.RetryBound(3)), null);
+        PeerMessage message = new GossipMessages.ConfigurationAnswer(
+                new ConfigurationSnapshot(Configuration.EMPTY, 5, List.of()),
+                List.of(new GossipMessages.OffsetRecord(6, entry)),
+                "host",
+                "domain");
+        assertThat(throughTheWire(message)).isEqualTo(message);
+    }
+
+    @Test
+    void dispatchIsReadBack() throws FrameException {
+        DispatchMessage message = new DispatchMessage(
+                new CallContext("2-root", 1, "2-root", 300, true, ""),
+                new OperationName("desk", "apply"),
+                false,
+                new CallBody("text/plain", new byte[] {1, 2, 3}),
+                "00ff",
+                900_000,
+                2);
+        DispatchMessage back = (DispatchMessage) throughTheWire(message);
+        assertThat(back.context()).isEqualTo(message.context());
+        assertThat(back.operation()).isEqualTo(message.operation());
+        assertThat(back.body().content()).isEqualTo(message.body().content());
+    }
+
+    @Test
+    void answerIsReadBack() throws FrameException {
+        CallAnswer answer = CallAnswer.unknown("no answer", "host", List.of());
+        CallAnswer back = (CallAnswer) throughTheWire(answer);
+        assertThat(back.outcome()).isEqualTo(answer.outcome());
+        assertThat(back.detail()).isEqualTo(answer.detail());
+    }
+
+    @Test
+    void incompleteFrameWaitsForMore() throws FrameException {
+        ByteBuffer bytes = FrameCodec.encode(new Frame(1, false, new GossipMessages.StatusRequest()));
+        ByteBuffer part = bytes.duplicate().limit(bytes.limit() - 1);
+        assertThat(FrameCodec.decode(part)).isEmpty();
+        assertThat(part.position()).isEqualTo(0);
+    }
+
+    @Test
+    void overlongFrameIsRejectedBeforeItIsRead() {
+        ByteBuffer bytes = ByteBuffer.allocate(8)
+                .putInt(FrameCodec.LARGEST_FRAME_BYTES + 1)
+                .putInt(0)
+                .flip();
+        FrameException problem = assertThrows(FrameException.class, () -> FrameCodec.decode(bytes));
+        assertThat(problem).hasMessageThat().contains("frame length");
+    }
+
+    @Test
+    void otherProtocolsAreRejected() {
+        ByteBuffer bytes = ByteBuffer.wrap("GET / HTTP/1.1\r\nHost: x\r\n\r\n".getBytes());
+        assertThrows(FrameException.class, () -> FrameCodec.decode(bytes));
+    }
+
+    @Property(tries = 3000, seed = "9")
+    void anyBytesEitherDecodeOrAreRejected(@ForAll @Size(max = 200) byte[] body, @ForAll byte kind) {
+        ByteBuffer bytes = ByteBuffer.allocate(body.length + 16);
+        bytes.putInt(body.length + 12)
+                .putShort((short) 0xA417)
+                .put(kind)
+                .put((byte) 0)
+                .putLong(1)
+                .put(body)
+                .flip();
+        try {
+            FrameCodec.decode(bytes);
+        } catch (FrameException rejected) {
+            assertThat(rejected).hasMessageThat().isNotEmpty();
+        }
+    }
+}
--- a/testbed/src/main/java/org/anvillatch/testbed/TestbedMain.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/TestbedMain.java
@@ -2,10 +2,12 @@
 
 import java.util.Arrays;
 
+import org.anvillatch.testbed.capacity.CapacityMain;
 import org.anvillatch.testbed.demo.CallersMain;
 import org.anvillatch.testbed.demo.Demo;
 import org.anvillatch.testbed.demo.LogMain;
 import org.anvillatch.testbed.experiment.ExperimentMain;
+import org.anvillatch.testbed.fault.FaultMain;
 
 /**
  * Entry point of the testbed's processes. Stateless.
@@ -27,7 +29,7 @@
         int status =
                 switch (part) {
                     case "demo" -> Demo.run(rest);
-                    case "experiment" -> ExperimentMain.run(rest);
+                    case "experiment" -> experiment(rest);
                     case "log" -> LogMain.run(rest);
                     case "callers" -> CallersMain.run(rest);
                     default -> unknown(part);
@@ -35,6 +37,16 @@
         System.exit(status);
     }
 
+    private static int experiment(String[] arguments) throws Exception {
+        String name = arguments.length == 0 ? "" : arguments[0];
+        String[] rest = arguments.length == 0 ? arguments : Arrays.copyOfRange(arguments, 1, arguments.length);
+        return switch (name) {
+            case "fault" -> FaultMain.run(rest);
+            case "capacity" -> CapacityMain.run(rest);
+            default -> ExperimentMain.run(arguments);
+        };
+    }
+
     private static int unknown(String part) {
         System.err.println("part \"" + part + "\" is none of: demo, experiment, log, callers");
         return WRONG_ARGUMENTS;
--- /dev/null
+++ b/testbed/src/main/java/org/anvillatch/testbed/capacity/CapacityMain.java
@@ -0,0 +1,267 @@
+package org.anvillatch.testbed.capacity;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.anvillatch.decision.admission.AdmissionFeatures;
+import org.anvillatch.decision.admission.ExecutionEnding;
+import org.anvillatch.decision.admission.Gatekeeper;
+import org.anvillatch.decision.admission.Work;
+import org.anvillatch.decision.configuration.Configuration;
+import org.anvillatch.decision.configuration.ConfigurationChange;
+import org.anvillatch.decision.configuration.ConfigurationRecord;
+import org.anvillatch.decision.configuration.ConfigurationReducer;
+import org.anvillatch.decision.configuration.OperationPolicy;
+import org.anvillatch.decision.drain.EndpointPhase;
+import org.anvillatch.decision.effect.EffectLedger;
+import org.anvillatch.decision.membership.Member;
+import org.anvillatch.decision.membership.MemberStatus;
+import org.anvillatch.decision.membership.Membership;
+import org.anvillatch.decision.model.HostIdentity;
+import org.anvillatch.decision.model.OperationName;
+import org.anvillatch.decision.model.Rank;
+import org.anvillatch.decision.routing.AnswerReport;
+import org.anvillatch.decision.routing.EndpointSelector;
+import org.anvillatch.decision.routing.RouteChoice;
+import org.anvillatch.node.peer.Frame;
+import org.anvillatch.node.peer.FrameCodec;
+import org.anvillatch.node.peer.FrameException;
+import org.anvillatch.node.peer.GossipMessages;
+import org.anvillatch.node.peer.PeerMessage;
+
+/**
+ * Measures what one node keeps, sends and computes at several numbers of members and sizes of configuration. Stateless.
+ */
+public final class CapacityMain {
+    private static final int[] MEMBERS = {500, 2_000, 8_000, 16_000};
+    private static final int[] OPERATIONS = {100, 1_000, 4_800};
+    private static final int SERVICES = 1_200;
+    private static final int DOMAINS = 7;
+    private static final int ROUNDS = 20_000;
+    private static final int HEAP_SETTLES = 4;
+    private static final long STEP_MICROS = 500_000;
+    private static final double NANOS_PER_MICRO = 1_000;
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /**
+     * One row of the table.
+     *
+     * @param what what was measured
+     * @param size number of members, operations or keys
+     * @param bytesRetained heap that the state keeps
+     * @param microsPerEvent processor time of one event
+     * @param bytesPerMessage encoded size of one message, 0 if none is sent
+     */
+    private record Row(String what, int size, long bytesRetained, double microsPerEvent, int bytesPerMessage) {}
+
+    private CapacityMain() {}
+
+    /**
+     * Measures and prints a table and one JSON object a row.
+     *
+     * @param arguments none
+     * @return exit status
+     * @throws Exception if a message cannot be encoded
+     */
+    public static int run(String[] arguments) throws Exception {
+        List<Row> rows = new ArrayList<>();
+        for (int members : MEMBERS) {
+            rows.addAll(membership(members));
+        }
+        for (int operations : OPERATIONS) {
+            rows.add(configuration(operations));
+        }
+        rows.add(gatekeeper());
+        rows.add(ledger());
+        System.out.printf(
+                "%-32s %8s %14s %14s %14s%n", "what", "size", "bytes retained", "us per event", "message bytes");
+        for (Row row : rows) {
+            System.out.printf(
+                    "%-32s %8d %14d %14.3f %14d%n",
+                    row.what(), row.size(), row.bytesRetained(), row.microsPerEvent(), row.bytesPerMessage());
+        }
+        for (Row row : rows) {
+            System.out.println(MAPPER.writeValueAsString(row));
+        }
+        return 0;
+    }
+
+    private static long heap() throws InterruptedException {
+        long least = Long.MAX_VALUE;
+        for (int settle = 0; settle < HEAP_SETTLES; settle++) {
+            System.gc();
+            Thread.sleep(50);
+            least = Math.min(
+                    least,
+                    Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
+        }
+        return least;
+    }
+
+    private static Member member(int number) {
+        return new Member(
+                new HostIdentity("host-" + number, 1_796_361_221_870L + number),
+                1,
+                "10." + number / 65_536 + "." + number / 256 % 256 + "." + number % 256 + ":7403",
+                "domain-" + number % DOMAINS,
+                "service-" + number % SERVICES,
+                80,
+                EndpointPhase.SERVING,
+                MemberStatus.ALIVE);
+    }
+
+    private static int size(PeerMessage message) throws FrameException {
+        return FrameCodec.encode(new Frame(1, false, message)).remaining();
+    }
+
+    private static List<Row> membership(int members) throws Exception {
+        long before = heap();
+        Membership membership = new Membership(member(0), List.of());
+        List<Member> all = new ArrayList<>();
+        for (int number = 1; number < members; number++) {
+            all.add(member(number));
+        }
+        membership.learn(all, 0);
+        // Lets the first news of every member run out, as in a system that has been up for a while.
+        while (!membership.updatesToSend().isEmpty()) {
+            Thread.onSpinWait();
+        }
+        all.clear();
+        long retained = heap() - before;
+        List<Row> rows = new ArrayList<>();
+        rows.add(new Row("membership: tick and ping", members, retained, pings(membership), ping(membership)));
+        rows.add(new Row("membership: whole exchange", members, 0, 0, Math.toIntExact(exchangeBytes(membership))));
+        rows.add(selector(membership, members));
+        return rows;
+    }
+
+    private static double pings(Membership membership) {
+        SplittableRandom random = new SplittableRandom(1);
+        long now = 0;
+        long started = System.nanoTime();
+        for (int round = 0; round < ROUNDS; round++) {
+            now += STEP_MICROS;
+            membership.tick(now, random).forEach(action -> {
+                if (action instanceof org.anvillatch.decision.membership.MembershipAction.Ping ping) {
+                    membership.answered(ping.target());
+                }
+            });
+            membership.learn(List.of(member(random.nextInt(100))), now);
+        }
+        return (System.nanoTime() - started) / NANOS_PER_MICRO / ROUNDS;
+    }
+
+    private static int ping(Membership membership) throws FrameException {
+        List<Member> updates = List.of(member(1), member(2));
+        return size(new GossipMessages.Ping(membership.self(), updates, 39_000));
+    }
+
+    /** The whole view is larger than one frame allows from some size on, so it is measured in parts. */
+    private static long exchangeBytes(Membership membership) throws FrameException {
+        List<Member> all = membership.all();
+        long bytes = 0;
+        for (int from = 0; from < all.size(); from += 500) {
+            List<Member> part = all.subList(from, Math.min(all.size(), from + 500));
+            bytes += size(new GossipMessages.Synchronize("10.0.0.1:7403", part, List.of(), 39_000));
+        }
+        return bytes;
+    }
+
+    private static Row selector(Membership membership, int members) throws Exception {
+        long before = heap();
+        EndpointSelector selector = new EndpointSelector(membership);
+        SplittableRandom random = new SplittableRandom(2);
+        double micros = 0;
+        // The first half warms the compiler up and is not counted.
+        for (int half = 0; half < 2; half++) {
+            long started = System.nanoTime();
+            for (int round = 0; round < ROUNDS * 5; round++) {
+                choose(selector, random, round);
+            }
+            micros = (System.nanoTime() - started) / NANOS_PER_MICRO / (ROUNDS * 5);
+        }
+        long retained = heap() - before;
+        if (selector.hashCode() == 0) {
+            System.out.println("selector kept");
+        }
+        return new Row("routing: choose and answer", members, retained, micros, 0);
+    }
+
+    private static void choose(EndpointSelector selector, SplittableRandom random, int round) {
+        OperationName operation = new OperationName("service-" + round % 20, "read");
+        EndpointSelector.Request request =
+                new EndpointSelector.Request(operation, 200, java.util.Set.of(), java.util.Set.of());
+        RouteChoice choice = selector.choose(request, round, random);
+        if (choice.isChosen()) {
+            selector.sent(choice.host());
+            selector.answered(choice.host(), new AnswerReport(operation, 0, 5, 1_000), round);
+        }
+    }
+
+    private static Row configuration(int operations) throws Exception {
+        long before = heap();
+        ConfigurationReducer reducer = new ConfigurationReducer();
+        List<ConfigurationChange> changes = new ArrayList<>();
+        for (int number = 0; number < operations; number++) {
+            changes.add(new ConfigurationChange.Operation(
+                    "service-" + number % SERVICES,
+                    "operation-" + number / SERVICES,
+                    new OperationPolicy("normal", true, 1_000)));
+        }
+        reducer.take(0, new ConfigurationRecord("first", Configuration.NO_VERSION, "operator", 0, changes, null));
+        changes.clear();
+        int rounds = 500;
+        long started = System.nanoTime();
+        for (int round = 1; round <= rounds; round++) {
+            reducer.take(round, oneChange(round));
+        }
+        double micros = (System.nanoTime() - started) / NANOS_PER_MICRO / rounds;
+        long retained = heap() - before;
+        PeerMessage pushed = new GossipMessages.ConfigurationAnswer(
+                null, List.of(new GossipMessages.OffsetRecord(1, oneChange(1))), "host-1", "domain-1");
+        if (reducer.nextOffset() != rounds + 1) {
+            throw new IllegalStateException("not every record was reduced");
+        }
+        return new Row("configuration: one change", operations, retained, micros, size(pushed));
+    }
+
+    private static ConfigurationRecord oneChange(int round) {
+        ConfigurationChange change = new ConfigurationChange.Operation(
+                "service-" + round, "operation-0", new OperationPolicy("normal", false, 2_000));
+        return new ConfigurationRecord("change-" + round, round - 1, "operator", 0, List.of(change), null);
+    }
+
+    private static Row gatekeeper() throws Exception {
+        long before = heap();
+        Gatekeeper gatekeeper = new Gatekeeper(AdmissionFeatures.ALL);
+        gatekeeper.announced(80);
+        OperationName operation = new OperationName("service", "read");
+        SplittableRandom random = new SplittableRandom(3);
+        double micros = 0;
+        for (int half = 0; half < 2; half++) {
+            long started = System.nanoTime();
+            for (int round = 0; round < ROUNDS * 5; round++) {
+                long now = round * 1_000L;
+                gatekeeper.offer(new Work(round, operation, random.nextInt(Rank.LIMIT), now + 1_000_000), now);
+                gatekeeper.finished(round, ExecutionEnding.ANSWERED, 500, operation, now);
+            }
+            micros = (System.nanoTime() - started) / NANOS_PER_MICRO / (ROUNDS * 5);
+        }
+        long retained = heap() - before;
+        return new Row("gatekeeper: one call", gatekeeper.status().slots(), retained, micros, 0);
+    }
+
+    private static Row ledger() throws Exception {
+        long before = heap();
+        EffectLedger ledger = new EffectLedger(new HostIdentity("host", 1), EffectLedger.CAPACITY);
+        long started = System.nanoTime();
+        for (int round = 0; round < ROUNDS * 2; round++) {
+            ledger.claim(ledger.issue(), "fingerprint-" + round);
+        }
+        double micros = (System.nanoTime() - started) / NANOS_PER_MICRO / (ROUNDS * 2);
+        long retained = heap() - before;
+        return new Row("effect: one key", ledger.size(), retained, micros, 0);
+    }
+}
--- a/testbed/src/main/java/org/anvillatch/testbed/endpoint/EndpointStandIn.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/endpoint/EndpointStandIn.java
@@ -54,6 +54,7 @@
     private volatile double slowdown = 1;
     private volatile long coldUntilMicros;
     private volatile boolean crashed;
+    private volatile int instance;
 
     /**
      * What stand-in endpoints of one process share.
@@ -99,6 +100,7 @@
      */
     public synchronized void start() throws Exception {
         crashed = false;
+        instance++;
         running = 0;
         queue.clear();
         server = new Server(context.threads(), context.scheduler(), null);
@@ -286,6 +288,7 @@
         Execution execution = new Execution(job, header(job, CallHeaders.CONTEXT, direct));
         execution.record(Kind.START, job.operation().idempotent() ? null : effectOf(job));
         if (new String(job.body(), StandardCharsets.UTF_8).startsWith(POISON)) {
+            execution.record(Kind.POISON, null);
             crash();
             return;
         }
@@ -307,6 +310,7 @@
         private final int attempt;
         private final AtomicInteger open;
         private final AtomicInteger broken = new AtomicInteger();
+        private final int startedBy = instance;
 
         private Execution(Job job, String id) {
             this.job = job;
@@ -333,7 +337,15 @@
                     true));
         }
 
+        /** Work of a process that has crashed does not go on, also if the endpoint was started again. */
+        private boolean isGone() {
+            return crashed || startedBy != instance;
+        }
+
         private void callNested() {
+            if (isGone()) {
+                return;
+            }
             List<String> nested = job.operation().nested();
             if (nested.isEmpty()) {
                 answer();
@@ -378,7 +390,7 @@
         }
 
         private void answer() {
-            if (crashed) {
+            if (isGone()) {
                 return;
             }
             record(Kind.END, null);
--- /dev/null
+++ b/testbed/src/main/java/org/anvillatch/testbed/fault/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Faults of running sites, alone and in random pairs.
+ */
+package org.anvillatch.testbed.fault;
--- a/testbed/src/main/java/org/anvillatch/testbed/history/HistoryChecker.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/history/HistoryChecker.java
@@ -24,6 +24,9 @@
     /** Time that a refusal at one endpoint may take to be known at the others, in microseconds. */
     public static final long ORDER_TOLERANCE_MICROS = 500_000;
 
+    /** Endpoints that one request may crash, whatever its caller repeats. */
+    public static final int POISON_BOUND = 2;
+
     private static final int TRACE_EVENTS = 12;
 
     /**
@@ -90,6 +93,7 @@
         checkNotRun();
         checkLeaving();
         checkOrder();
+        checkPoison();
         return outcomes(maxRetries, duplicateEffects, foreign);
     }
 
@@ -242,6 +246,19 @@
         });
     }
 
+    /** A request that crashes endpoints is recognised by its body; each of its starts loses one endpoint. */
+    private void checkPoison() {
+        for (Map.Entry<String, List<HistoryEvent>> entry : byRoot(Kind.POISON).entrySet()) {
+            int lost = entry.getValue().size();
+            if (lost > POISON_BOUND) {
+                report(
+                        "endpoints lost to one request",
+                        "root " + entry.getKey() + " crashed " + lost + " endpoints, the bound is " + POISON_BOUND,
+                        entry.getValue());
+            }
+        }
+    }
+
     private static boolean anyBetween(List<Long> times, long from, long until) {
         int index = java.util.Collections.binarySearch(times, from);
         int first = index < 0 ? -index - 1 : index;
--- a/testbed/src/main/java/org/anvillatch/testbed/history/HistoryEvent.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/history/HistoryEvent.java
@@ -48,6 +48,8 @@
         ANNOUNCE,
         /** An endpoint has told its host that it leaves. */
         LEAVE,
+        /** An endpoint runs a request that crashes it. */
+        POISON,
         /** An endpoint has crashed. */
         CRASH
     }
--- a/testbed/src/main/java/org/anvillatch/testbed/proxy/FaultProxy.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/proxy/FaultProxy.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
 
 /**
  * TCP proxy that injects faults between one listening address and one target. Thread safe.
@@ -40,19 +41,20 @@
     private final AtomicLong faults = new AtomicLong();
     private volatile Fault fault = Fault.NONE;
     private volatile long delayMillis;
+    private volatile Predicate<String> sources = source -> true;
 
     /**
      * Starts a proxy.
      *
      * @param port port to listen on at the loopback address, 0 for a free one
-     * @param targetPort port to pass connections on to
+     * @param target address to pass connections on to
      * @throws IOException if it cannot listen
      */
-    public FaultProxy(int port, int targetPort) throws IOException {
+    public FaultProxy(int port, InetSocketAddress target) throws IOException {
         server = new ServerSocket();
         server.setReuseAddress(true);
         server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
-        target = new InetSocketAddress(InetAddress.getLoopbackAddress(), targetPort);
+        this.target = target;
         startThread(this::accept);
     }
 
@@ -78,8 +80,20 @@
      * @param newDelayMillis delay of each buffer, for {@link Fault#DELAY}
      */
     public void set(Fault newFault, long newDelayMillis) {
+        set(newFault, newDelayMillis, source -> true);
+    }
+
+    /**
+     * Sets the fault for connections of some sources.
+     *
+     * @param newFault what to do with bytes from now on
+     * @param newDelayMillis delay of each buffer, for {@link Fault#DELAY}
+     * @param newSources IP numbers whose connections are concerned
+     */
+    public void set(Fault newFault, long newDelayMillis, Predicate<String> newSources) {
         synchronized (this) {
             delayMillis = newDelayMillis;
+            sources = newSources;
             fault = newFault;
             notifyAll();
         }
@@ -113,21 +127,22 @@
             upstream.setTcpNoDelay(true);
             client.setTcpNoDelay(true);
             sockets.add(upstream);
-            startThread(() -> pump(client, upstream, false));
-            pump(upstream, client, true);
+            String source = client.getInetAddress().getHostAddress();
+            startThread(() -> pump(client, upstream, source, false));
+            pump(upstream, client, source, true);
         } catch (IOException unreachable) {
             close(client);
             close(upstream);
         }
     }
 
-    private void pump(Socket from, Socket to, boolean answers) {
+    private void pump(Socket from, Socket to, String source, boolean answers) {
         byte[] buffer = new byte[BUFFER_BYTES];
         try {
             InputStream input = from.getInputStream();
             OutputStream output = to.getOutputStream();
             int length = input.read(buffer);
-            while (length >= 0 && pass(buffer, length, output, answers)) {
+            while (length >= 0 && pass(buffer, length, output, source, answers)) {
                 length = input.read(buffer);
             }
         } catch (IOException broken) {
@@ -139,10 +154,10 @@
         close(to);
     }
 
-    private boolean pass(byte[] buffer, int length, OutputStream output, boolean answers)
+    private boolean pass(byte[] buffer, int length, OutputStream output, String source, boolean answers)
             throws IOException, InterruptedException {
-        awaitStallEnd();
-        Fault now = fault;
+        awaitStallEnd(source);
+        Fault now = sources.test(source) ? fault : Fault.NONE;
         if (now != Fault.NONE) {
             faults.incrementAndGet();
         }
@@ -169,12 +184,12 @@
         return true;
     }
 
-    private void awaitStallEnd() throws InterruptedException {
+    private void awaitStallEnd(String source) throws InterruptedException {
         synchronized (this) {
-            if (fault == Fault.STALL) {
+            if (fault == Fault.STALL && sources.test(source)) {
                 faults.incrementAndGet();
             }
-            while (fault == Fault.STALL) {
+            while (fault == Fault.STALL && sources.test(source)) {
                 wait();
             }
         }
--- a/testbed/src/main/java/org/anvillatch/testbed/site/NodeProcess.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/site/NodeProcess.java
@@ -29,6 +29,7 @@
      * @param name name of the host
      * @param domain failure domain
      * @param ports its four ports
+     * @param peerHost loopback address of the failure domain, for connections between hosts
      * @param advertisedPeer address that is given to other hosts' settings; the proxy's if there is one
      * @param seeds addresses to join through
      * @param logAddress the log service
@@ -38,6 +39,7 @@
             String name,
             String domain,
             Ports ports,
+            String peerHost,
             String advertisedPeer,
             List<String> seeds,
             String logAddress,
@@ -90,7 +92,7 @@
                 "--operator-address",
                 LOOPBACK + settings.ports().operator(),
                 "--peer-address",
-                LOOPBACK + settings.ports().peer(),
+                settings.peerHost() + ":" + settings.ports().peer(),
                 "--log-address",
                 settings.logAddress(),
                 "--change-key",
--- a/testbed/src/main/java/org/anvillatch/testbed/site/SiteRun.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/site/SiteRun.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -147,6 +148,15 @@
             host.agent().start();
         }
         declareIntent();
+        awaitComplete();
+    }
+
+    /**
+     * Waits until every node serves, knows every endpoint and knows the configuration.
+     *
+     * @throws InterruptedException if the wait is interrupted
+     */
+    public void awaitComplete() throws InterruptedException {
         await("every node to know every endpoint", this::isComplete);
     }
 
@@ -168,8 +178,10 @@
             throws Exception {
         String name = service.name() + "-" + worker;
         NodeProcess.Ports ports = new NodeProcess.Ports(free.get(0), free.get(1), free.get(2), free.get(3));
-        FaultProxy proxy = options.proxied() ? new FaultProxy(free.get(4), ports.peer()) : null;
-        String reachable = "127.0.0.1:" + (proxy == null ? ports.peer() : proxy.port());
+        String peerHost = domainHost(domain);
+        FaultProxy proxy =
+                options.proxied() ? new FaultProxy(free.get(4), new InetSocketAddress(peerHost, ports.peer())) : null;
+        String reachable = proxy == null ? peerHost + ":" + ports.peer() : "127.0.0.1:" + proxy.port();
         if (seeds.size() < SEEDS) {
             seeds.add(reachable);
         }
@@ -178,6 +190,7 @@
                         name,
                         domain,
                         ports,
+                        peerHost,
                         proxy == null ? "" : reachable,
                         List.copyOf(seeds),
                         log == null ? options.externalLog() : log.address(),
@@ -198,6 +211,16 @@
         hosts.put(name, new Host(name, domain, node, endpoint, agent, proxy));
     }
 
+    /**
+     * Returns the loopback address from which hosts of a failure domain connect to other hosts.
+     *
+     * @param domain failure domain
+     * @return IP number
+     */
+    public String domainHost(String domain) {
+        return "127.0." + (spec.domains().indexOf(domain) + 1) + ".1";
+    }
+
     /**
      * Finds free ports below the range from which the system takes ports of outgoing connections.
      *
@@ -223,7 +246,7 @@
     private static boolean isFree(int port) {
         try (ServerSocket socket = new ServerSocket()) {
             socket.setReuseAddress(true);
-            socket.bind(new java.net.InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
             return true;
         } catch (IOException taken) {
             return false;
--- a/testbed/src/main/java/org/anvillatch/testbed/site/SiteSpec.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/site/SiteSpec.java
@@ -116,6 +116,45 @@
                         new RequestKind("plan", "meal-plan/save", 0.15)));
     }
 
+    /**
+     * A small site for tests of failures: three failure domains, three services of three workers.
+     *
+     * @return nine hosts
+     */
+    public static SiteSpec small() {
+        ServiceSpec front = new ServiceSpec(
+                "front",
+                3,
+                40,
+                300,
+                List.of(
+                        new OperationSpec("read", "normal", true, 1_000, 5, List.of("middle/read")),
+                        new OperationSpec("write", "important", false, 1_500, 5, List.of("middle/write"))));
+        ServiceSpec middle = new ServiceSpec(
+                "middle",
+                3,
+                40,
+                300,
+                List.of(
+                        new OperationSpec("read", "normal", true, 1_000, 5, List.of("back/read", "back/read")),
+                        new OperationSpec("write", "important", false, 1_500, 5, List.of("back/write"))));
+        ServiceSpec back = new ServiceSpec(
+                "back",
+                3,
+                20,
+                200,
+                List.of(
+                        new OperationSpec("read", "normal", true, 1_000, 20, List.of()),
+                        new OperationSpec("write", "important", false, 1_500, 20, List.of())));
+        return new SiteSpec(
+                "small",
+                List.of("north", "east", "south"),
+                IMPORTANCES,
+                4,
+                List.of(front, middle, back),
+                List.of(new RequestKind("read", "front/read", 0.6), new RequestKind("write", "front/write", 0.4)));
+    }
+
     /**
      * Finds a site.
      *
@@ -126,6 +165,7 @@
         return switch (name) {
             case "sicily" -> sicily();
             case "zagreb" -> zagreb();
+            case "small" -> small();
             default -> null;
         };
     }
--- /dev/null
+++ b/testbed/src/test/java/org/anvillatch/testbed/fault/FaultRoundTest.java
@@ -0,0 +1,74 @@
+package org.anvillatch.testbed.fault;
+
+import java.nio.file.Path;
+import java.util.List;
+
+import org.anvillatch.testbed.history.HistoryChecker;
+import org.anvillatch.testbed.site.SiteRun;
+import org.anvillatch.testbed.site.SiteSpec;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/** Real node processes under each fault, judged by the history checker. */
+class FaultRoundTest {
+    private static final double SECONDS = 3;
+    private static final double RATE = 50;
+
+    @TempDir
+    private static Path directory;
+
+    private static SiteRun site;
+
+    @BeforeAll
+    static void startSite() throws Exception {
+        site = new SiteRun(SiteSpec.small(), new SiteRun.Options(true, directory, List.of(), "", null));
+        site.start();
+    }
+
+    @AfterAll
+    static void stopSite() throws Exception {
+        site.close();
+    }
+
+    private static HistoryChecker.Verdict run(String name, boolean poison, FaultRound.PlacedFault... faults)
+            throws Exception {
+        FaultRound.Parameters parameters =
+                new FaultRound.Parameters(name, name.hashCode(), SECONDS, RATE, List.of(faults), poison);
+        HistoryChecker.Verdict verdict = new FaultRound(site, parameters).run();
+        assertWithMessage(name).that(verdict.violations()).isEmpty();
+        assertThat(verdict.whole()).isGreaterThan(0);
+        return verdict;
+    }
+
+    @ParameterizedTest
+    @EnumSource(Fault.class)
+    void everyPromiseHoldsUnder(Fault fault) throws Exception {
+        run("single-" + fault, false, new FaultRound.PlacedFault(fault, "middle-1"));
+    }
+
+    @Test
+    void poisonRequestCrashesAtMostTwoEndpoints() throws Exception {
+        run("poison", true);
+    }
+
+    @Test
+    void readsGoOnWhileTheLogIsDown() throws Exception {
+        HistoryChecker.Verdict verdict = run("log-down", false, new FaultRound.PlacedFault(Fault.LOG_DOWN, "back-0"));
+        assertThat(verdict.whole()).isEqualTo(verdict.roots());
+    }
+
+    @Test
+    void gracefulReplacementLosesNoRequest() throws Exception {
+        HistoryChecker.Verdict verdict =
+                run("replace", false, new FaultRound.PlacedFault(Fault.REPLACE_NODE, "middle-2"));
+        assertThat(verdict.failed()).isEqualTo(0);
+        assertThat(verdict.foreignAnswers()).isEqualTo(0);
+    }
+}
--- /dev/null
+++ b/testbed/src/test/java/org/anvillatch/testbed/history/HistoryCheckerTest.java
@@ -0,0 +1,157 @@
+package org.anvillatch.testbed.history;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.anvillatch.testbed.history.HistoryEvent.Kind;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Every rule of the checker rejects a planted violation and accepts its allowed neighbour. */
+class HistoryCheckerTest {
+    private static final int BOUND = 2;
+
+    private final List<HistoryEvent> events = new ArrayList<>();
+
+    private static HistoryEvent event(
+            long atMicros, Kind kind, String place, String root, String path, String outcome, String reason) {
+        return new HistoryEvent(
+                atMicros,
+                kind,
+                place,
+                root,
+                0,
+                path,
+                path + "@" + place,
+                "back/read",
+                root.charAt(0) - '0',
+                outcome,
+                reason,
+                null,
+                true);
+    }
+
+    private void start(long atMicros, String place, String root) {
+        events.add(event(atMicros, Kind.START, place, root, root, null, null));
+    }
+
+    private void answer(long atMicros, String root, String outcome, String reason) {
+        events.add(event(atMicros, Kind.ANSWER, "caller", root, root, outcome, reason));
+    }
+
+    private List<String> broken() {
+        return new HistoryChecker(events, BOUND)
+                .check().violations().stream()
+                        .map(HistoryChecker.Violation::promise)
+                        .toList();
+    }
+
+    @Test
+    void findsTooManyRetries() {
+        for (int run = 0; run <= BOUND; run++) {
+            start(run, "back-" + run, "1-a");
+        }
+        assertThat(broken()).isEmpty();
+        start(10, "back-9", "1-a");
+        assertThat(broken()).containsExactly("retries within the bound");
+    }
+
+    @Test
+    void findsADuplicateEffect() {
+        HistoryEvent effect = new HistoryEvent(
+                1, Kind.START, "back-0", "2-a", 0, "2-a", "x", "back/write", 2, null, null, "revision 5", true);
+        events.add(effect);
+        assertThat(broken()).isEmpty();
+        events.add(effect);
+        assertThat(broken()).containsExactly("at most once");
+    }
+
+    @Test
+    void findsAForeignAnswer() {
+        events.add(new HistoryEvent(
+                1, Kind.ANSWER, "caller", "1-a", 0, "1-a", null, "back/read", 1, "complete", null, null, false));
+        assertThat(broken()).containsExactly("complete answer to its own caller");
+    }
+
+    @Test
+    void findsAFalseNotRunAlsoIfTheRunStartsLater() {
+        answer(1, "1-a", "not-run", "draining");
+        assertThat(broken()).isEmpty();
+        start(2_000_000, "back-0", "1-a");
+        assertThat(broken()).containsExactly("not run is true");
+    }
+
+    @Test
+    void findsNewWorkAfterLeaving() {
+        events.add(HistoryEvent.life(0, Kind.LEAVE, "back-0", "back"));
+        start(HistoryChecker.LEAVE_BOUND_MICROS, "back-0", "1-a");
+        assertThat(broken()).isEmpty();
+        start(HistoryChecker.LEAVE_BOUND_MICROS + 1, "back-0", "1-b");
+        assertThat(broken()).containsExactly("no new work after leaving");
+    }
+
+    @Test
+    void acceptsWorkAfterAReturn() {
+        events.add(HistoryEvent.life(0, Kind.LEAVE, "back-0", "back"));
+        events.add(HistoryEvent.life(1_000, Kind.ANNOUNCE, "back-0", "back"));
+        start(HistoryChecker.LEAVE_BOUND_MICROS * 2, "back-0", "1-a");
+        assertThat(broken()).isEmpty();
+    }
+
+    @Test
+    void findsImportantWorkRefusedWhileLesserWorkKeepsStarting() {
+        long refusedAt = 10_000_000;
+        answer(refusedAt, "2-important", "not-run", "overload");
+        start(refusedAt - HistoryChecker.ORDER_TOLERANCE_MICROS + 1, "back-0", "1-a");
+        start(refusedAt - 1, "back-0", "1-b");
+        assertThat(broken()).isEmpty();
+        start(refusedAt + 1, "back-0", "1-c");
+        assertThat(broken()).containsExactly("important work refused last");
+    }
+
+    @Test
+    void acceptsLesserWorkOfAnotherService() {
+        long refusedAt = 10_000_000;
+        answer(refusedAt, "2-important", "not-run", "overload");
+        for (long at : new long[] {-400_000, -1, 1}) {
+            events.add(new HistoryEvent(
+                    refusedAt + at,
+                    Kind.START,
+                    "other-0",
+                    "1-a" + at,
+                    0,
+                    "1-a" + at,
+                    "x",
+                    "other/read",
+                    1,
+                    null,
+                    null,
+                    null,
+                    true));
+        }
+        assertThat(broken()).isEmpty();
+    }
+
+    @Test
+    void findsAThirdEndpointLostToOneRequest() {
+        for (int run = 0; run < HistoryChecker.POISON_BOUND; run++) {
+            events.add(event(run, Kind.POISON, "back-" + run, "1-a", "1-a", null, null));
+        }
+        assertThat(broken()).isEmpty();
+        events.add(event(9, Kind.POISON, "back-9", "1-a", "1-a", null, null));
+        assertThat(broken()).containsExactly("endpoints lost to one request");
+    }
+
+    @Test
+    void countsOutcomesByTheLastAnswer() {
+        answer(1, "1-a", "not-run", "draining");
+        answer(2, "1-a", "complete", null);
+        answer(3, "1-b", "unknown", null);
+        events.add(event(4, Kind.INVOKE, "caller", "1-c", "1-c", null, null));
+        HistoryChecker.Verdict verdict = new HistoryChecker(events, BOUND).check();
+        assertThat(verdict.roots()).isEqualTo(3);
+        assertThat(verdict.whole()).isEqualTo(1);
+        assertThat(verdict.unknown()).isEqualTo(2);
+    }
+}
