Lower the shed level while slots are idle, raise it by the share that is evicted

Cause: the level was set from about 22 decayed completions, and the maximum of noisy estimates was kept, so that a fifth of the bottleneck's slots stood idle. Ruled out: deadlines, the endpoint's own rejections (none in the logs), the re-route budget. Change: idle slots lower the level, evictions raise it past a share of the arrivals in proportion.

--- a/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
@@ -85,7 +85,7 @@
         if (!phase.takesNewWork()) {
             return List.of(refuse(work, phaseReason(), nowMicros));
         }
-        shedLevel.advance(nowMicros);
+        shedLevel.advance(isIdle(), nowMicros);
         shedLevel.arrived(work.rank());
         if (isDoomed(work, nowMicros)) {
             return List.of(refuse(work, RefusalReason.DEADLINE, nowMicros));
@@ -126,10 +126,9 @@
         if (!running.remove(execution)) {
             return List.of();
         }
-        shedLevel.advance(nowMicros);
+        shedLevel.advance(isIdle(), nowMicros);
         if (ending == ExecutionEnding.ANSWERED) {
             limit.succeeded();
-            shedLevel.completed();
             latencyMicros.merge(
                     operation, (double) durationMicros, (old, latest) -> old + (latest - old) * LATENCY_WEIGHT);
         } else if (ending.lowersLimit()) {
@@ -159,7 +158,7 @@
      * @return refusals of overdue work and starts of work that fits
      */
     public List<AdmissionAction> tick(long nowMicros) {
-        shedLevel.advance(nowMicros);
+        shedLevel.advance(isIdle(), nowMicros);
         List<AdmissionAction> actions = new ArrayList<>();
         for (Work work : queue.removeOverdue(nowMicros)) {
             shedLevel.evicted();
@@ -232,6 +231,10 @@
                 : RefusalReason.DRAINING;
     }
 
+    private boolean isIdle() {
+        return queue.size() == 0 && running.size() < limit.limit();
+    }
+
     private int queueCapacity() {
         return Math.max(LEAST_QUEUE, (int) (limit.limit() * QUEUE_SHARE));
     }
--- a/decision/src/main/java/org/anvillatch/decision/admission/ShedLevel.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/ShedLevel.java
@@ -6,9 +6,9 @@
  * The lowest rank that one endpoint wants its senders to send. The endpoint's own queue refuses by eviction, which never
  * leaves a slot idle; the level tells senders to refuse earlier, before work is spent on what would be evicted.
  *
- * <p>Arrivals are counted by rank, evictions and completions in total, all with exponential decay. While more than a
- * small part of the arrivals is evicted, the level is set so that what ranks higher just exceeds the completions (after
- * DAGOR, SoCC 2018). While almost nothing is evicted the level falls, faster the longer that lasts.
+ * <p>Arrivals are counted by rank and evictions in total, with exponential decay. While more than a small part of the
+ * arrivals is evicted, the level rises past a share of the arrivals in proportion (after DAGOR, SoCC 2018). While slots are
+ * idle the level falls, faster the longer that lasts, so that the end of the overload ends the refusals.
  *
  * <p>Invariant: {@code 0 <= level <= Rank.LIMIT}. Not thread safe: owned by the host's decision loop.
  */
@@ -20,23 +20,22 @@
     public static final long DECAY_MICROS = 300_000;
 
     /** Share of evicted arrivals above which the level rises. */
-    public static final double HIGH_PRESSURE = 0.06;
+    public static final double HIGH_PRESSURE = 0.05;
 
-    /** Share of evicted arrivals below which the level falls. */
-    public static final double LOW_PRESSURE = 0.02;
+    /** Share of the excess arrivals that one step excludes. */
+    public static final double GAIN = 0.15;
 
-    /** What senders should send, as a multiple of what is completed. */
-    public static final double OFFERED_FACTOR = 1.05;
+    /** What the level always admits, as a multiple of what is served. */
+    public static final double SERVED_FACTOR = 1.05;
 
     private static final double KEPT = Math.exp(-(double) STEP_MICROS / DECAY_MICROS);
     private static final int LEAST_ARRIVALS = 4;
-    private static final double FIRST_FALL = 1;
+    private static final double FIRST_FALL = 0.5;
     private static final double FALL_GROWTH = 1.08;
 
     private final double[] arrivals = new double[Rank.LIMIT];
     private double arrivalCount;
     private double evictions;
-    private double completions;
     private double level;
     private double fall = FIRST_FALL;
     private long nextStepMicros;
@@ -51,11 +50,6 @@
         arrivalCount++;
     }
 
-    /** Counts an execution that the endpoint finished. */
-    public void completed() {
-        completions++;
-    }
-
     /** Counts work that was refused after it had arrived, because others ranked higher or its time ran out. */
     public void evicted() {
         evictions++;
@@ -73,24 +67,35 @@
     /**
      * Adjusts the level if it is time.
      *
+     * @param idle whether slots are free and nothing waits
      * @param nowMicros current time
      */
-    public void advance(long nowMicros) {
+    public void advance(boolean idle, long nowMicros) {
         if (nowMicros < nextStepMicros) {
             return;
         }
         nextStepMicros = nowMicros + STEP_MICROS;
         double pressure = evictions / Math.max(LEAST_ARRIVALS, arrivalCount);
-        if (pressure > HIGH_PRESSURE) {
-            fall = FIRST_FALL;
-            level = Math.max(level, levelThatAdmits(completions * OFFERED_FACTOR));
-        } else if (pressure < LOW_PRESSURE) {
+        if (idle) {
             level = Math.max(0, level - fall);
             fall = Math.min(Rank.BUCKETS, fall * FALL_GROWTH);
+        } else {
+            fall = FIRST_FALL;
+            raise(pressure - HIGH_PRESSURE);
         }
         decay();
     }
 
+    private void raise(double excess) {
+        double toExclude = GAIN * excess * arrivalCount;
+        // What is served now must stay admitted: ranks above the arrivals are empty, and would let the level run away.
+        int highest = levelThatAdmits((arrivalCount - evictions) * SERVED_FACTOR);
+        for (int rank = (int) level; rank < highest && toExclude > 0; rank++) {
+            toExclude -= arrivals[rank];
+            level = rank + 1;
+        }
+    }
+
     private int levelThatAdmits(double target) {
         double sum = 0;
         for (int rank = Rank.LIMIT - 1; rank >= 0; rank--) {
@@ -108,6 +113,5 @@
         }
         arrivalCount *= KEPT;
         evictions *= KEPT;
-        completions *= KEPT;
     }
 }
