Raise the shed level at once when a fifth more than the target is evicted

Cause: in the first second of a surge the level rose in steps while endpoints still ran lesser work that waited in their queues.

--- a/decision/src/main/java/org/anvillatch/decision/admission/ShedLevel.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/ShedLevel.java
@@ -25,6 +25,9 @@
     /** Share of the excess arrivals that one step excludes. */
     public static final double GAIN = 0.15;
 
+    /** Excess above which the level rises at once as far as it may. */
+    public static final double JUMP_EXCESS = 0.2;
+
     /** What the level always admits, as a multiple of what is served. */
     public static final double SERVED_FACTOR = 1.05;
 
@@ -90,6 +93,10 @@
         double toExclude = GAIN * excess * arrivalCount;
         // What is served now must stay admitted: ranks above the arrivals are empty, and would let the level run away.
         int highest = levelThatAdmits((arrivalCount - evictions) * SERVED_FACTOR);
+        if (excess > JUMP_EXCESS) {
+            level = Math.max(level, highest);
+            return;
+        }
         for (int rank = (int) level; rank < highest && toExclude > 0; rank++) {
             toExclude -= arrivals[rank];
             level = rank + 1;
