--- a/decision/src/main/java/org/anvillatch/decision/admission/ShedLevel.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/ShedLevel.java
@@ -33,8 +33,8 @@
 
     private static final double KEPT = Math.exp(-(double) STEP_MICROS / DECAY_MICROS);
     private static final int LEAST_ARRIVALS = 4;
-    private static final double FIRST_FALL = 0.5;
-    private static final double FALL_GROWTH = 1.08;
+    private static final double FIRST_FALL = 0.7;
+    private static final double FALL_GROWTH = 1.12;
 
     private final double[] arrivals = new double[Rank.LIMIT];
     private double arrivalCount;
