Exchange only the parts of the membership view that differ

Cause: every 5 s a host sent its whole view to a member and to a seed; bin/experiment capacity measured 2,334,956 bytes for 16,000 members, hundreds of times the limit of 5 KB/s. Change: hosts compare hashes of up to 512 buckets and exchange only members of buckets that differ. Also: whether a change is in force is asked of eight hosts of each failure domain instead of all hosts. Ruled out: pings (464 bytes each at any size).

--- a/decision/src/main/java/org/anvillatch/decision/membership/Membership.java
+++ b/decision/src/main/java/org/anvillatch/decision/membership/Membership.java
@@ -275,6 +275,15 @@
         return List.copyOf(members.values());
     }
 
+    /**
+     * Returns how many hosts are known.
+     *
+     * @return at least 1, dead ones included
+     */
+    public int size() {
+        return members.size();
+    }
+
     /**
      * Returns one host.
      *
--- a/decision/src/main/java/org/anvillatch/decision/membership/MembershipAction.java
+++ b/decision/src/main/java/org/anvillatch/decision/membership/MembershipAction.java
@@ -22,7 +22,7 @@
     record IndirectPing(String address, String target, String targetAddress) implements MembershipAction {}
 
     /**
-     * Exchange all members with a host.
+     * Compare views with a host and exchange what differs.
      *
      * @param address IP number and port
      */
--- a/node/src/main/java/org/anvillatch/node/NodePeerHandler.java
+++ b/node/src/main/java/org/anvillatch/node/NodePeerHandler.java
@@ -66,6 +66,8 @@
             services.membership().answer(ping, reply);
         } else if (message instanceof GossipMessages.Synchronize synchronize) {
             services.membership().answer(synchronize, reply);
+        } else if (message instanceof GossipMessages.Members members) {
+            services.membership().answer(members, reply);
         } else if (message instanceof GossipMessages.ConfigurationRequest request) {
             reply.send(services.configuration().answer(request.coveredOffset()));
         } else if (message instanceof GossipMessages.ConfigurationAnswer pushed) {
--- a/node/src/main/java/org/anvillatch/node/membership/MembershipService.java
+++ b/node/src/main/java/org/anvillatch/node/membership/MembershipService.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 
 import org.anvillatch.decision.membership.Member;
 import org.anvillatch.decision.membership.Membership;
 import org.anvillatch.decision.membership.MembershipAction;
+import org.anvillatch.decision.membership.MembershipDigest;
 import org.anvillatch.decision.quarantine.CrashSuspects;
 import org.anvillatch.node.configuration.ConfigurationService;
 import org.anvillatch.node.loop.DecisionLoop;
@@ -103,26 +105,32 @@
     }
 
     private void synchronize(String address) {
-        peers.send(address, synchronizeMessage(), MESSAGE_TIMEOUT_MICROS, new Listener(address) {
+        Membership membership = state.membership();
+        int buckets = MembershipDigest.buckets(membership.size());
+        GossipMessages.Synchronize request = new GossipMessages.Synchronize(
+                membership.self().address(),
+                MembershipDigest.of(membership.all(), buckets),
+                state.suspects().all(),
+                covered());
+        peers.send(address, request, MESSAGE_TIMEOUT_MICROS, new Listener(address) {
             @Override
             void received(PeerMessage message) {
-                if (message instanceof GossipMessages.Synchronize answer) {
-                    learn(address, answer);
+                if (message instanceof GossipMessages.SynchronizeAnswer answer) {
+                    takeAnswer(address, buckets, answer);
                 }
             }
         });
     }
 
-    private GossipMessages.Synchronize synchronizeMessage() {
+    private void takeAnswer(String address, int buckets, GossipMessages.SynchronizeAnswer answer) {
         Membership membership = state.membership();
-        return new GossipMessages.Synchronize(
-                membership.self().address(), membership.all(), state.suspects().all(), covered());
-    }
-
-    private void learn(String address, GossipMessages.Synchronize message) {
-        state.membership().learn(message.members(), loop.nowMicros());
-        message.suspicions().forEach(state.suspects()::add);
-        configuration.heard(address, message.coveredOffset());
+        List<Member> own = MembershipDigest.select(membership.all(), answer.differing(), buckets);
+        membership.learn(answer.members(), loop.nowMicros());
+        answer.suspicions().forEach(state.suspects()::add);
+        configuration.heard(address, answer.coveredOffset());
+        if (!own.isEmpty()) {
+            peers.send(address, new GossipMessages.Members(own), MESSAGE_TIMEOUT_MICROS, new Listener(address));
+        }
     }
 
     /**
@@ -164,14 +172,33 @@
     }
 
     /**
-     * Answers an exchange.
+     * Answers a comparison of views.
      *
      * @param request the request
      * @param reply sends the answer
      */
     public void answer(GossipMessages.Synchronize request, PeerServer.Reply reply) {
-        learn(request.sender(), request);
-        reply.send(synchronizeMessage());
+        List<Member> all = state.membership().all();
+        int buckets = request.digest().length;
+        Set<Integer> differing = MembershipDigest.differing(request.digest(), MembershipDigest.of(all, buckets));
+        request.suspicions().forEach(state.suspects()::add);
+        configuration.heard(request.sender(), request.coveredOffset());
+        reply.send(new GossipMessages.SynchronizeAnswer(
+                differing,
+                MembershipDigest.select(all, differing, buckets),
+                state.suspects().all(),
+                covered()));
+    }
+
+    /**
+     * Takes members that another host hands on.
+     *
+     * @param message the members
+     * @param reply sends the answer
+     */
+    public void answer(GossipMessages.Members message, PeerServer.Reply reply) {
+        state.membership().learn(message.members(), loop.nowMicros());
+        reply.send(new GossipMessages.Acknowledge(true));
     }
 
     /**
--- a/node/src/main/java/org/anvillatch/node/operator/ChangeCommand.java
+++ b/node/src/main/java/org/anvillatch/node/operator/ChangeCommand.java
@@ -162,7 +162,8 @@
                     List.of(),
                     List.of()));
         } else if (verdict.decision() == ChangeVerdict.Decision.ACCEPTED) {
-            awaitDomains(change, verdict.offset(), loop.nowMicros() + DOMAIN_WAIT_MICROS, listener);
+            long until = loop.nowMicros() + DOMAIN_WAIT_MICROS;
+            awaitDomains(change, verdict.offset(), survey.sample(), until, listener);
         } else if (verdict.decision() == ChangeVerdict.Decision.CONFLICT) {
             listener.accept(conflict(appended.basedOn(), verdict.version()));
         } else {
@@ -171,14 +172,15 @@
         }
     }
 
-    private void awaitDomains(String change, long offset, long untilMicros, Consumer<CommandAnswer> listener) {
-        survey.ask(new GossipMessages.StatusRequest(), result -> {
-            Map<String, DomainProgress> domains = progress(result.answers(), offset);
+    private void awaitDomains(
+            String change, long offset, List<Member> asked, long untilMicros, Consumer<CommandAnswer> listener) {
+        survey.ask(new GossipMessages.StatusRequest(), asked, answers -> {
+            Map<String, DomainProgress> domains = progress(asked, answers, offset);
             boolean complete = domains.values().stream().allMatch(DomainProgress::isComplete);
             if (complete || loop.nowMicros() >= untilMicros) {
                 listener.accept(accepted(change, offset, domains));
             } else {
-                loop.schedule(DOMAIN_POLL_MICROS, () -> awaitDomains(change, offset, untilMicros, listener));
+                loop.schedule(DOMAIN_POLL_MICROS, () -> awaitDomains(change, offset, asked, untilMicros, listener));
             }
         });
     }
@@ -193,19 +195,17 @@
         }
     }
 
-    private Map<String, DomainProgress> progress(List<PeerMessage> answers, long offset) {
+    private Map<String, DomainProgress> progress(List<Member> asked, List<PeerMessage> answers, long offset) {
         Map<String, DomainProgress> domains = new TreeMap<>();
-        for (Member member : state.membership().all()) {
-            if (member.status().isPresent()) {
-                DomainProgress domain = domains.computeIfAbsent(member.domain(), name -> new DomainProgress());
-                domain.hosts++;
-                domain.lagging.add(member.host().name());
-            }
+        List<Member> counted = new ArrayList<>(asked);
+        counted.add(state.membership().self());
+        for (Member member : counted) {
+            DomainProgress domain = domains.computeIfAbsent(member.domain(), name -> new DomainProgress());
+            domain.hosts++;
+            domain.lagging.add(member.host().name());
         }
-        confirm(
-                domains,
-                state.membership().self().domain(),
-                state.membership().self().host().name());
+        Member self = state.membership().self();
+        confirm(domains, self.domain(), self.host().name());
         for (PeerMessage message : answers) {
             if (message instanceof GossipMessages.StatusAnswer answer
                     && answer.status().coveredOffset() >= offset) {
@@ -236,8 +236,8 @@
                 ? "version " + offset + " is in force in every failure domain"
                 : "version " + offset + " is accepted and cannot revert; not yet on every host of "
                         + String.join(", ", behind);
-        CommandAnswer.Table table =
-                new CommandAnswer.Table("failure domains", List.of("domain", "hosts", "in force", "lagging"), rows);
+        CommandAnswer.Table table = new CommandAnswer.Table(
+                "failure domains", List.of("domain", "hosts asked", "in force", "lagging"), rows);
         return new CommandAnswer(CommandAnswer.Result.ACCEPTED, message, change, offset, List.of(), List.of(table));
     }
 }
--- a/node/src/main/java/org/anvillatch/node/operator/HostSurvey.java
+++ b/node/src/main/java/org/anvillatch/node/operator/HostSurvey.java
@@ -1,7 +1,9 @@
 package org.anvillatch.node.operator;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 
 import org.anvillatch.decision.membership.Member;
@@ -16,20 +18,14 @@
     /** Most hosts that are asked. */
     public static final int MOST_HOSTS = 400;
 
+    /** Hosts of a failure domain that are asked whether a change is in force. */
+    public static final int SAMPLE = 8;
+
     private static final long TIMEOUT_MICROS = 1_000_000;
 
     private final HostState state;
     private final PeerClient peers;
 
-    /**
-     * Answers of a survey. Immutable and thread safe.
-     *
-     * @param answers answers in order of arrival
-     * @param asked hosts that were asked
-     * @param present hosts believed present, this one not counted
-     */
-    public record Result(List<PeerMessage> answers, int asked, int present) {}
-
     /**
      * Creates a survey.
      *
@@ -45,9 +41,48 @@
      * Asks all other hosts, or an arbitrary part of them if they are too many.
      *
      * @param question the question
-     * @param listener receives the result, on the loop
+     * @param listener receives the answers in order of arrival, on the loop
+     */
+    public void ask(PeerMessage question, Consumer<List<PeerMessage>> listener) {
+        List<Member> present = others();
+        ask(question, present.subList(0, Math.min(MOST_HOSTS, present.size())), listener);
+    }
+
+    /**
+     * Asks some hosts.
+     *
+     * @param question the question
+     * @param asked the hosts
+     * @param listener receives the answers in order of arrival, on the loop
+     */
+    public void ask(PeerMessage question, List<Member> asked, Consumer<List<PeerMessage>> listener) {
+        Collector collector = new Collector(asked.size(), listener);
+        asked.forEach(member -> peers.send(member.address(), question, TIMEOUT_MICROS, collector));
+        if (asked.isEmpty()) {
+            listener.accept(List.of());
+        }
+    }
+
+    /**
+     * Draws a few hosts of each failure domain.
+     *
+     * @return other hosts that are present, at most {@link #SAMPLE} of a failure domain
      */
-    public void ask(PeerMessage question, Consumer<Result> listener) {
+    public List<Member> sample() {
+        List<Member> present = others();
+        Map<String, Integer> drawn = new HashMap<>();
+        List<Member> sample = new ArrayList<>();
+        int offset = present.isEmpty() ? 0 : state.random().nextInt(present.size());
+        for (int index = 0; index < present.size(); index++) {
+            Member member = present.get((index + offset) % present.size());
+            if (drawn.merge(member.domain(), 1, Integer::sum) <= SAMPLE) {
+                sample.add(member);
+            }
+        }
+        return sample;
+    }
+
+    private List<Member> others() {
         List<Member> present = new ArrayList<>();
         for (Member member : state.membership().all()) {
             boolean isSelf = member.host().equals(state.membership().self().host());
@@ -55,41 +90,35 @@
                 present.add(member);
             }
         }
-        List<Member> asked = present.subList(0, Math.min(MOST_HOSTS, present.size()));
-        Collector collector = new Collector(asked.size(), present.size(), listener);
-        asked.forEach(member -> peers.send(member.address(), question, TIMEOUT_MICROS, collector));
-        collector.endIfComplete();
+        return present;
     }
 
     private static final class Collector implements PeerClient.AnswerListener {
         private final List<PeerMessage> answers = new ArrayList<>();
         private final int asked;
-        private final int present;
-        private final Consumer<Result> listener;
+        private final Consumer<List<PeerMessage>> listener;
         private int ended;
 
-        private Collector(int asked, int present, Consumer<Result> listener) {
+        private Collector(int asked, Consumer<List<PeerMessage>> listener) {
             this.asked = asked;
-            this.present = present;
             this.listener = listener;
         }
 
         @Override
         public void answered(PeerMessage message) {
             answers.add(message);
-            ended++;
-            endIfComplete();
+            endOne();
         }
 
         @Override
         public void failed(PeerClient.PeerFailure failure) {
-            ended++;
-            endIfComplete();
+            endOne();
         }
 
-        private void endIfComplete() {
+        private void endOne() {
+            ended++;
             if (ended == asked) {
-                listener.accept(new Result(List.copyOf(answers), asked, present));
+                listener.accept(List.copyOf(answers));
             }
         }
     }
--- a/node/src/main/java/org/anvillatch/node/operator/QuestionCommand.java
+++ b/node/src/main/java/org/anvillatch/node/operator/QuestionCommand.java
@@ -103,10 +103,10 @@
     }
 
     private void withHosts(Consumer<List<HostStatus>> listener) {
-        survey.ask(new GossipMessages.StatusRequest(), result -> {
+        survey.ask(new GossipMessages.StatusRequest(), answers -> {
             List<HostStatus> hosts = new ArrayList<>();
             hosts.add(ownStatus.get());
-            for (PeerMessage message : result.answers()) {
+            for (PeerMessage message : answers) {
                 if (message instanceof GossipMessages.StatusAnswer answer) {
                     hosts.add(answer.status());
                 }
@@ -116,9 +116,9 @@
     }
 
     private void withDecisions(String request, Consumer<List<Decision>> listener) {
-        survey.ask(new GossipMessages.DecisionsRequest(request), result -> {
+        survey.ask(new GossipMessages.DecisionsRequest(request), answers -> {
             List<Decision> decisions = new ArrayList<>(decisionsHere(request));
-            for (PeerMessage message : result.answers()) {
+            for (PeerMessage message : answers) {
                 if (message instanceof GossipMessages.DecisionsAnswer answer) {
                     decisions.addAll(answer.decisions());
                 }
--- a/node/src/main/java/org/anvillatch/node/peer/GossipMessages.java
+++ b/node/src/main/java/org/anvillatch/node/peer/GossipMessages.java
@@ -1,6 +1,7 @@
 package org.anvillatch.node.peer;
 
 import java.util.List;
+import java.util.Set;
 
 import org.anvillatch.decision.configuration.ConfigurationRecord;
 import org.anvillatch.decision.configuration.ConfigurationSnapshot;
@@ -42,17 +43,35 @@
     public record IndirectPing(String target, String targetAddress) implements PeerMessage {}
 
     /**
-     * Exchanges everything that is known; the answer is of the same kind.
+     * Compares views.
      *
-     * @param sender name of the sender
-     * @param members all members
+     * @param sender address of the sender
+     * @param digest summary of the sender's view
      * @param suspicions all suspicions
      * @param coveredOffset how much of the configuration stream the sender has reduced
      */
-    public record Synchronize(
-            String sender, List<Member> members, List<CrashSuspects.Suspicion> suspicions, long coveredOffset)
+    public record Synchronize(String sender, int[] digest, List<CrashSuspects.Suspicion> suspicions, long coveredOffset)
             implements PeerMessage {}
 
+    /**
+     * Answers a comparison.
+     *
+     * @param differing numbers of the buckets in which the views differ
+     * @param members the answering host's members of these buckets
+     * @param suspicions all suspicions
+     * @param coveredOffset how much of the configuration stream the answering host has reduced
+     */
+    public record SynchronizeAnswer(
+            Set<Integer> differing, List<Member> members, List<CrashSuspects.Suspicion> suspicions, long coveredOffset)
+            implements PeerMessage {}
+
+    /**
+     * Hands members on.
+     *
+     * @param members what the sender knows
+     */
+    public record Members(List<Member> members) implements PeerMessage {}
+
     /**
      * Withdraws a request.
      *
--- a/node/src/main/java/org/anvillatch/node/peer/MessageKind.java
+++ b/node/src/main/java/org/anvillatch/node/peer/MessageKind.java
@@ -15,7 +15,7 @@
     PING_ANSWER(2, GossipMessages.PingAnswer.class),
     /** Asks a host to ping another one. */
     INDIRECT_PING(3, GossipMessages.IndirectPing.class),
-    /** Exchanges everything that is known. */
+    /** Compares views. */
     SYNCHRONIZE(4, GossipMessages.Synchronize.class),
     /** Gives a gatekeeper a call to run. */
     DISPATCH(5, DispatchMessage.class),
@@ -40,7 +40,11 @@
     /** Asks for the state of a host. */
     STATUS_REQUEST(15, GossipMessages.StatusRequest.class),
     /** Answers with the state of a host. */
-    STATUS_ANSWER(16, GossipMessages.StatusAnswer.class);
+    STATUS_ANSWER(16, GossipMessages.StatusAnswer.class),
+    /** Answers a comparison. */
+    SYNCHRONIZE_ANSWER(17, GossipMessages.SynchronizeAnswer.class),
+    /** Hands members on. */
+    MEMBERS(18, GossipMessages.Members.class);
 
     private final int code;
     private final Class<? extends PeerMessage> type;
--- a/testbed/src/main/java/org/anvillatch/testbed/capacity/CapacityMain.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/capacity/CapacityMain.java
@@ -19,6 +19,7 @@
 import org.anvillatch.decision.membership.Member;
 import org.anvillatch.decision.membership.MemberStatus;
 import org.anvillatch.decision.membership.Membership;
+import org.anvillatch.decision.membership.MembershipDigest;
 import org.anvillatch.decision.model.HostIdentity;
 import org.anvillatch.decision.model.OperationName;
 import org.anvillatch.decision.model.Rank;
@@ -132,7 +133,8 @@
         long retained = heap() - before;
         List<Row> rows = new ArrayList<>();
         rows.add(new Row("membership: tick and ping", members, retained, pings(membership), ping(membership)));
-        rows.add(new Row("membership: whole exchange", members, 0, 0, Math.toIntExact(exchangeBytes(membership))));
+        rows.add(comparison(membership, members));
+        rows.add(oneBucket(membership, members));
         rows.add(selector(membership, members));
         return rows;
     }
@@ -158,15 +160,25 @@
         return size(new GossipMessages.Ping(membership.self(), updates, 39_000));
     }
 
-    /** The whole view is larger than one frame allows from some size on, so it is measured in parts. */
-    private static long exchangeBytes(Membership membership) throws FrameException {
-        List<Member> all = membership.all();
-        long bytes = 0;
-        for (int from = 0; from < all.size(); from += 500) {
-            List<Member> part = all.subList(from, Math.min(all.size(), from + 500));
-            bytes += size(new GossipMessages.Synchronize("10.0.0.1:7403", part, List.of(), 39_000));
+    private static Row comparison(Membership membership, int members) throws FrameException {
+        int buckets = MembershipDigest.buckets(members);
+        int rounds = 200;
+        int[] digest = new int[0];
+        long started = System.nanoTime();
+        for (int round = 0; round < rounds; round++) {
+            digest = MembershipDigest.of(membership.all(), buckets);
         }
-        return bytes;
+        double micros = (System.nanoTime() - started) / NANOS_PER_MICRO / rounds;
+        PeerMessage request = new GossipMessages.Synchronize("10.0.0.1:7403", digest, List.of(), 39_000);
+        return new Row("membership: comparison", members, 0, micros, size(request));
+    }
+
+    private static Row oneBucket(Membership membership, int members) throws FrameException {
+        int buckets = MembershipDigest.buckets(members);
+        java.util.Set<Integer> one = java.util.Set.of(0);
+        List<Member> differing = MembershipDigest.select(membership.all(), one, buckets);
+        PeerMessage answer = new GossipMessages.SynchronizeAnswer(one, differing, List.of(), 39_000);
+        return new Row("membership: one differing bucket", members, 0, 0, size(answer));
     }
 
     private static Row selector(Membership membership, int members) throws Exception {
