--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -87,7 +87,7 @@
         state = createState(settings);
         DecisionLog log = new DecisionLog(settings.logFormat(), metrics);
         PeerClient peers =
-                new PeerClient(loop, threads, scheduler, settings.peerAddress().host());
+                new PeerClient(loop, threads, scheduler, settings.peerAddress().host(), metrics);
         EndpointClient endpointClient = new EndpointClient(threads, scheduler);
         HttpPlatformLog platform = new HttpPlatformLog(settings.logAddress(), threads, scheduler);
         gatekeeping = new Gatekeeping(loop, state, endpointClient, log, metrics);
--- a/node/src/main/java/org/anvillatch/node/peer/PeerClient.java
+++ b/node/src/main/java/org/anvillatch/node/peer/PeerClient.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.concurrent.Executor;
 
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
 import org.anvillatch.node.Service;
 import org.anvillatch.node.StartException;
 import org.anvillatch.node.loop.DecisionLoop;
@@ -84,6 +86,7 @@
     private final DecisionLoop loop;
     private final ClientConnector connector = new ClientConnector();
     private final Map<String, Link> links = new HashMap<>();
+    private final Counter bytesSent;
     private long nextCorrelation = 1;
 
     /**
@@ -93,8 +96,11 @@
      * @param executor runs reads
      * @param scheduler runs timeouts
      * @param sourceHost IP number that connections come from, that of the peer address
+     * @param metrics registry for the count of bytes
      */
-    public PeerClient(DecisionLoop loop, Executor executor, Scheduler scheduler, String sourceHost) {
+    public PeerClient(
+            DecisionLoop loop, Executor executor, Scheduler scheduler, String sourceHost, MetricRegistry metrics) {
+        this.bytesSent = metrics.counter("peer.bytes_sent");
         this.loop = loop;
         connector.setExecutor(executor);
         connector.setScheduler(scheduler);
@@ -165,7 +171,7 @@
         try {
             Frame frame = new Frame(pending.correlation, false, message);
             pending.sent = true;
-            pending.link.connection.send(frame);
+            bytesSent.inc(pending.link.connection.send(frame));
         } catch (FrameException tooLarge) {
             LOG.warn("request to {} not sent: {}", pending.link.address, tooLarge.getMessage());
             fail(pending, PeerFailure.NOT_SENT);
--- a/node/src/main/java/org/anvillatch/node/peer/PeerConnection.java
+++ b/node/src/main/java/org/anvillatch/node/peer/PeerConnection.java
@@ -137,11 +137,15 @@
      * Queues a frame for writing.
      *
      * @param frame the frame
+     * @return size of the frame in bytes
      * @throws FrameException if the message is too large
      */
-    public void send(Frame frame) throws FrameException {
-        writer.add(FrameCodec.encode(frame));
+    public int send(Frame frame) throws FrameException {
+        ByteBuffer bytes = FrameCodec.encode(frame);
+        int size = bytes.remaining();
+        writer.add(bytes);
         writer.iterate();
+        return size;
     }
 
     @Override
--- a/node/src/main/java/org/anvillatch/node/peer/PeerServer.java
+++ b/node/src/main/java/org/anvillatch/node/peer/PeerServer.java
@@ -57,6 +57,7 @@
     private final Executor executor;
     private final Handler handler;
     private final Counter malformed;
+    private final Counter bytesSent;
 
     /**
      * Creates the factory of server side connections.
@@ -70,6 +71,7 @@
         this.executor = executor;
         this.handler = handler;
         this.malformed = metrics.counter("peer.malformed");
+        this.bytesSent = metrics.counter("peer.bytes_sent");
     }
 
     @Override
@@ -87,9 +89,9 @@
         handler.request(origin, frame.message(), answer -> reply(origin, answer));
     }
 
-    private static void reply(RequestOrigin origin, PeerMessage answer) {
+    private void reply(RequestOrigin origin, PeerMessage answer) {
         try {
-            origin.connection().send(new Frame(origin.correlation(), true, answer));
+            bytesSent.inc(origin.connection().send(new Frame(origin.correlation(), true, answer)));
         } catch (FrameException tooLarge) {
             LOG.warn("answer not sent, connection closed: {}", tooLarge.getMessage());
             origin.connection().close();
--- a/testbed/src/main/java/org/anvillatch/testbed/capacity/CapacityMain.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/capacity/CapacityMain.java
@@ -1,5 +1,6 @@
 package org.anvillatch.testbed.capacity;
 
+import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -86,6 +87,9 @@
         for (Row row : rows) {
             System.out.println(MAPPER.writeValueAsString(row));
         }
+        System.out.println("idle node processes:");
+        System.out.println(
+                MAPPER.writeValueAsString(IdleCost.measure(Files.createTempDirectory("anvillatch-capacity"))));
         return 0;
     }
 
--- a/testbed/src/main/java/org/anvillatch/testbed/demo/CallersMain.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/demo/CallersMain.java
@@ -22,6 +22,7 @@
     private static final int THREADS = 32;
     private static final int RESENDS = 2;
     private static final long RESEND_MILLIS = 100;
+    private static final long LATENCY_MICROS = 1_000;
     private static final int PROGRESS_EVERY = 500;
 
     private CallersMain() {}
@@ -54,7 +55,7 @@
                     new NodeTarget(() -> addresses),
                     timer,
                     history,
-                    new Callers.Behaviour("demo", seed, RESENDS, RESEND_MILLIS),
+                    new Callers.Behaviour("demo", seed, RESENDS, RESEND_MILLIS, LATENCY_MICROS),
                     ending -> {
                         whole.addAndGet(ending.whole() ? 1 : 0);
                         if (ended.incrementAndGet() % PROGRESS_EVERY == 0) {
--- a/testbed/src/main/java/org/anvillatch/testbed/demo/Demo.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/demo/Demo.java
@@ -29,6 +29,7 @@
     private static final int SECONDS = 20;
     private static final int RATE = 120;
     private static final int SEED = 1;
+    private static final long DOMAIN_LATENCY_MICROS = 500;
     private static final long KILL_AFTER_MILLIS = 6_000;
     private static final long DRAIN_AFTER_MILLIS = 6_000;
     private static final long STOP_SECONDS = 15;
@@ -67,13 +68,13 @@
         SiteSpec spec = SiteSpec.sicily();
         int logPort = SiteRun.freePorts(1).get(0);
         startPart("log", List.of(Integer.toString(logPort)));
-        SiteRun site =
-                new SiteRun(spec, new SiteRun.Options(false, directory, List.of(), "127.0.0.1:" + logPort, null));
+        SiteRun site = new SiteRun(spec, new SiteRun.Options(true, directory, List.of(), "127.0.0.1:" + logPort, null));
         Thread cleaner = new Thread(() -> stopAll(site), "cleaner");
         Runtime.getRuntime().addShutdownHook(cleaner);
         try {
             System.out.println("starting " + spec.name() + ": log service, nodes and endpoints; logs in " + directory);
             site.start();
+            site.setDomainLatency(DOMAIN_LATENCY_MICROS);
             System.out.println(site.hosts().size() + " nodes know each other and the declared intent");
             Path callerHistory = directory.resolve("callers.jsonl");
             Process callers = startCallers(site, callerHistory);
--- a/testbed/src/main/java/org/anvillatch/testbed/fault/Fault.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/fault/Fault.java
@@ -141,12 +141,12 @@
     DELAY {
         @Override
         public void begin(SiteRun site, SiteRun.Host host) {
-            host.proxy().set(FaultProxy.Fault.DELAY, DELAY_MILLIS);
+            host.proxy().set(FaultProxy.Fault.DELAY, DELAY_MICROS);
         }
     };
 
     private static final long STOP_SECONDS = 20;
-    private static final long DELAY_MILLIS = 40;
+    private static final long DELAY_MICROS = 40_000;
 
     /**
      * Begins the fault.
--- a/testbed/src/main/java/org/anvillatch/testbed/fault/FaultRound.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/fault/FaultRound.java
@@ -71,7 +71,7 @@
                 new NodeTarget(this::callerAddresses),
                 site.timer(),
                 site.history(),
-                new Callers.Behaviour(parameters.name(), parameters.seed(), RESENDS, RESEND_MILLIS),
+                new Callers.Behaviour(parameters.name(), parameters.seed(), RESENDS, RESEND_MILLIS, 0),
                 ending -> {});
         trouble.start();
         if (parameters.poison()) {
--- a/testbed/src/main/java/org/anvillatch/testbed/load/Callers.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/load/Callers.java
@@ -41,8 +41,9 @@
      * @param seed seed of arrivals and choices
      * @param resends how often a caller sends a request again
      * @param resendMillis pause before a re-send
+     * @param latencyMicros one-way latency between a caller and its node
      */
-    public record Behaviour(String run, long seed, int resends, long resendMillis) {}
+    public record Behaviour(String run, long seed, int resends, long resendMillis, long latencyMicros) {}
 
     /**
      * How one root request ended.
@@ -243,12 +244,26 @@
             record(Kind.INVOKE, null, null, true);
             long sent = History.nowMicros();
             long timeout = operation.deadlineMillis() + operation.deadlineMillis() / 10;
-            sender.post(target.url(kind.operation(), random), headers, body, timeout, answer -> {
-                if (attempt == 0) {
-                    firstAnswerMicros = History.nowMicros() - sent;
-                }
-                answered(answer);
-            });
+            String url = target.url(kind.operation(), random);
+            afterLatency(() -> sender.post(
+                    url,
+                    headers,
+                    body,
+                    timeout,
+                    answer -> afterLatency(() -> {
+                        if (attempt == 0) {
+                            firstAnswerMicros = History.nowMicros() - sent;
+                        }
+                        answered(answer);
+                    })));
+        }
+
+        private void afterLatency(Runnable step) {
+            if (behaviour.latencyMicros() == 0) {
+                step.run();
+            } else {
+                timer.schedule(step, behaviour.latencyMicros(), TimeUnit.MICROSECONDS);
+            }
         }
 
         private void answered(HttpSender.Answer answer) {
--- a/testbed/src/main/java/org/anvillatch/testbed/proxy/FaultProxy.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/proxy/FaultProxy.java
@@ -9,6 +9,7 @@
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Predicate;
 
@@ -40,7 +41,7 @@
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private final AtomicLong faults = new AtomicLong();
     private volatile Fault fault = Fault.NONE;
-    private volatile long delayMillis;
+    private volatile long delayMicros;
     private volatile Predicate<String> sources = source -> true;
 
     /**
@@ -77,22 +78,22 @@
      * Sets the fault.
      *
      * @param newFault what to do with bytes from now on
-     * @param newDelayMillis delay of each buffer, for {@link Fault#DELAY}
+     * @param newDelayMicros delay of each buffer, for {@link Fault#DELAY}
      */
-    public void set(Fault newFault, long newDelayMillis) {
-        set(newFault, newDelayMillis, source -> true);
+    public void set(Fault newFault, long newDelayMicros) {
+        set(newFault, newDelayMicros, source -> true);
     }
 
     /**
      * Sets the fault for connections of some sources.
      *
      * @param newFault what to do with bytes from now on
-     * @param newDelayMillis delay of each buffer, for {@link Fault#DELAY}
+     * @param newDelayMicros delay of each buffer, for {@link Fault#DELAY}
      * @param newSources IP numbers whose connections are concerned
      */
-    public void set(Fault newFault, long newDelayMillis, Predicate<String> newSources) {
+    public void set(Fault newFault, long newDelayMicros, Predicate<String> newSources) {
         synchronized (this) {
-            delayMillis = newDelayMillis;
+            delayMicros = newDelayMicros;
             sources = newSources;
             fault = newFault;
             notifyAll();
@@ -176,7 +177,7 @@
                 output.flush();
                 return !answers;
             }
-            case DELAY -> Thread.sleep(delayMillis);
+            case DELAY -> TimeUnit.MICROSECONDS.sleep(delayMicros);
             default -> {}
         }
         output.write(buffer, 0, length);
--- a/testbed/src/main/java/org/anvillatch/testbed/site/NodeProcess.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/site/NodeProcess.java
@@ -3,6 +3,7 @@
 import java.io.File;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -160,6 +161,24 @@
         return process != null && process.isAlive();
     }
 
+    /**
+     * Returns the processor time that the process has used.
+     *
+     * @return zero if it is not known
+     */
+    public Duration processorTime() {
+        return process.info().totalCpuDuration().orElse(Duration.ZERO);
+    }
+
+    /**
+     * Returns the number of the process.
+     *
+     * @return process id
+     */
+    public long processId() {
+        return process.pid();
+    }
+
     /**
      * Returns how it is started.
      *
--- a/testbed/src/main/java/org/anvillatch/testbed/site/OperatorClient.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/site/OperatorClient.java
@@ -55,4 +55,28 @@
             throw new IOException("node at " + address + " does not answer: " + failure.getMessage(), failure);
         }
     }
+
+    /**
+     * Reads one metric of a node.
+     *
+     * @param address where the node takes operators
+     * @param name name without the common prefix
+     * @return the value, 0 if the node has no such metric
+     * @throws IOException if the node does not answer
+     * @throws InterruptedException if the wait is interrupted
+     */
+    public double metric(String address, String name) throws IOException, InterruptedException {
+        try {
+            String prefix = "anvillatch_" + name + " ";
+            return client.GET("http://" + address + "/metrics")
+                    .getContentAsString()
+                    .lines()
+                    .filter(line -> line.startsWith(prefix))
+                    .mapToDouble(line -> Double.parseDouble(line.substring(prefix.length())))
+                    .findFirst()
+                    .orElse(0);
+        } catch (ExecutionException | TimeoutException failure) {
+            throw new IOException("node at " + address + " does not answer: " + failure.getMessage(), failure);
+        }
+    }
 }
--- a/testbed/src/main/java/org/anvillatch/testbed/site/SiteRun.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/site/SiteRun.java
@@ -317,6 +317,18 @@
         }
     }
 
+    /**
+     * Delays what hosts of different failure domains send to each other; the site must have proxies.
+     *
+     * @param oneWayMicros delay in one direction
+     */
+    public void setDomainLatency(long oneWayMicros) {
+        for (Host host : hosts.values()) {
+            String own = domainHost(host.domain());
+            host.proxy().set(FaultProxy.Fault.DELAY, oneWayMicros, source -> !source.equals(own));
+        }
+    }
+
     /**
      * Returns a client for operators.
      *
