Run keys that callers choose, claimed on the platform's log

Cause: only keys issued by a node were taken; callers that follow the usual convention make their own. Change: UUIDs of version 7 are claimed on the stream 'claims', claims of 20 ms share an append, the first offset that names a key decides, and its writer's life runs it as if it had issued it. A key that may have been claimed in a record that is no longer held is answered unknown. Half of the keyed requests of fault rounds use such keys.

--- a/decision/src/main/java/org/anvillatch/decision/effect/EffectLedger.java
+++ b/decision/src/main/java/org/anvillatch/decision/effect/EffectLedger.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 
 import org.anvillatch.decision.model.HostIdentity;
 import org.anvillatch.decision.model.Outcome;
@@ -19,9 +20,8 @@
 
     private final HostIdentity owner;
     private final int capacity;
-    private final Map<Long, Entry> entries = new LinkedHashMap<>();
+    private final Map<String, Entry> entries = new LinkedHashMap<>();
     private long nextSequence = 1;
-    private long forgottenBelow = 1;
 
     private enum State {
         ISSUED,
@@ -49,33 +49,41 @@
      */
     public BoundKey issue() {
         long sequence = nextSequence++;
-        entries.put(sequence, new Entry(State.ISSUED, "", Outcome.NOT_RUN));
+        BoundKey key = new BoundKey(owner, sequence);
+        entries.put(key.toString(), new Entry(State.ISSUED, "", Outcome.NOT_RUN));
         forgetOldest();
-        return new BoundKey(owner, sequence);
+        return key;
     }
 
     private void forgetOldest() {
         while (entries.size() > capacity) {
-            long oldest = entries.keySet().iterator().next();
-            entries.remove(oldest);
-            forgottenBelow = Math.max(forgottenBelow, oldest + 1);
+            entries.remove(entries.keySet().iterator().next());
         }
     }
 
+    /**
+     * Takes a key that a caller chose, when a record that this life of the host has written names it first.
+     *
+     * @param key the key
+     */
+    public void adopt(String key) {
+        entries.put(key, new Entry(State.ISSUED, "", Outcome.NOT_RUN));
+        forgetOldest();
+    }
+
     /**
      * Claims the execution of a key.
      *
-     * @param key the key of the request
+     * @param key the key of the request; this life of the host owns it
      * @param request fingerprint of the request's operation and body
      * @return whether to run it, or what is known of the earlier attempt
      */
-    public Claim claim(BoundKey key, String request) {
-        if (!key.owner().equals(owner) || key.sequence() < forgottenBelow) {
-            return new Claim(Claim.Verdict.UNKNOWN, Outcome.UNKNOWN);
-        }
-        Entry entry = entries.get(key.sequence());
+    public Claim claim(String key, String request) {
+        Entry entry = entries.get(key);
         if (entry == null) {
-            return new Claim(Claim.Verdict.NEVER_ISSUED, Outcome.NOT_RUN);
+            return isFromTheFuture(key)
+                    ? new Claim(Claim.Verdict.NEVER_ISSUED, Outcome.NOT_RUN)
+                    : new Claim(Claim.Verdict.UNKNOWN, Outcome.UNKNOWN);
         }
         if (!entry.request().isEmpty() && !entry.request().equals(request)) {
             return new Claim(Claim.Verdict.OTHER_REQUEST, Outcome.NOT_RUN);
@@ -87,8 +95,15 @@
         };
     }
 
-    private Claim begin(BoundKey key, String request) {
-        entries.put(key.sequence(), new Entry(State.RUNNING, request, Outcome.UNKNOWN));
+    private boolean isFromTheFuture(String text) {
+        Optional<BoundKey> key = BoundKey.parse(text);
+        return key.isPresent()
+                && key.get().owner().equals(owner)
+                && Long.compareUnsigned(key.get().sequence(), nextSequence) >= 0;
+    }
+
+    private Claim begin(String key, String request) {
+        entries.put(key, new Entry(State.RUNNING, request, Outcome.UNKNOWN));
         return new Claim(Claim.Verdict.RUN, Outcome.UNKNOWN);
     }
 
@@ -98,13 +113,13 @@
      * @param key the key that was claimed
      * @param outcome how it ended
      */
-    public void ended(BoundKey key, Outcome outcome) {
-        Entry entry = entries.get(key.sequence());
+    public void ended(String key, Outcome outcome) {
+        Entry entry = entries.get(key);
         if (entry == null || entry.state() != State.RUNNING) {
             return;
         }
         State state = outcome == Outcome.NOT_RUN ? State.ISSUED : State.ENDED;
-        entries.put(key.sequence(), new Entry(state, entry.request(), outcome));
+        entries.put(key, new Entry(state, entry.request(), outcome));
     }
 
     /**
--- /dev/null
+++ b/decision/src/test/java/org/anvillatch/decision/effect/KeyClaimsTest.java
@@ -0,0 +1,52 @@
+package org.anvillatch.decision.effect;
+
+import java.util.List;
+
+import org.anvillatch.decision.model.HostIdentity;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class KeyClaimsTest {
+    private static final HostIdentity FIRST = new HostIdentity("a", 1);
+    private static final HostIdentity SECOND = new HostIdentity("b", 1);
+    private static final long NOW = 1_796_361_221_870L;
+
+    private final KeyClaims claims = new KeyClaims(3);
+
+    private static KeyClaims.ClaimRecord claim(HostIdentity owner, long millis, String... keys) {
+        return new KeyClaims.ClaimRecord(owner, millis, List.of(keys));
+    }
+
+    @Test
+    void firstOffsetOwnsTheKey() {
+        claims.take(0, claim(FIRST, NOW, "k"));
+        claims.take(1, claim(SECOND, NOW, "k", "l"));
+        assertThat(claims.ownerOf("k")).hasValue(FIRST);
+        assertThat(claims.ownerOf("l")).hasValue(SECOND);
+        assertThat(claims.isTooOld(0)).isFalse();
+    }
+
+    @Test
+    void keyThatMayHaveBeenClaimedInADroppedRecordIsTooOld() {
+        claims.take(5, claim(FIRST, NOW, "k"));
+        assertThat(claims.isTooOld(NOW - 1)).isTrue();
+        assertThat(claims.isTooOld(NOW + KeyClaims.CLOCK_MARGIN_MILLIS)).isFalse();
+    }
+
+    @Test
+    void forgottenKeysAreTooOld() {
+        claims.take(0, claim(FIRST, NOW, "k1", "k2"));
+        claims.take(1, claim(FIRST, NOW + 1, "k3", "k4"));
+        assertThat(claims.ownerOf("k1")).isEmpty();
+        assertThat(claims.isTooOld(NOW - 1)).isTrue();
+    }
+
+    @Test
+    void timeOfAKeyIsRead() {
+        assertThat(TimedKey.timeMillis("017f22e2-79b0-7cc3-98c4-dc0c0c07398f").getAsLong())
+                .isEqualTo(1_645_557_742_000L);
+        assertThat(TimedKey.timeMillis("6ba7b810-9dad-41d1-80b4-00c04fd430c8").isEmpty())
+                .isTrue();
+    }
+}
--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -18,6 +18,7 @@
 import org.anvillatch.decision.quarantine.CrashSuspects;
 import org.anvillatch.decision.routing.EndpointSelector;
 import org.anvillatch.node.call.CallRouter;
+import org.anvillatch.node.call.ClaimService;
 import org.anvillatch.node.call.EffectService;
 import org.anvillatch.node.call.Gatekeeping;
 import org.anvillatch.node.caller.CallHandler;
@@ -92,7 +93,13 @@
         HttpPlatformLog platform = new HttpPlatformLog(settings.logAddress(), threads, scheduler);
         gatekeeping = new Gatekeeping(loop, state, endpointClient, log, metrics);
         router = new CallRouter(loop, state, peers, gatekeeping, log, metrics);
-        EffectService effects = new EffectService(loop, state, peers, router, log);
+        EffectService effects = new EffectService(
+                loop,
+                state,
+                peers,
+                router,
+                new ClaimService(loop, state.membership().self().host(), state.ledger(), platform, metrics),
+                log);
         configurationService =
                 new ConfigurationService(loop, state, peers, platform, settings.snapshotSeconds() * MICROS_PER_SECOND);
         membershipService = new MembershipService(loop, state, peers, configurationService);
--- a/node/src/main/java/org/anvillatch/node/NodePeerHandler.java
+++ b/node/src/main/java/org/anvillatch/node/NodePeerHandler.java
@@ -57,7 +57,7 @@
         if (message instanceof DispatchMessage dispatch) {
             dispatch(origin, dispatch, reply);
         } else if (message instanceof OwnedCallMessage owned) {
-            services.effects().run(callOf(owned), reply::send);
+            services.effects().runAsOwner(callOf(owned), reply::send);
         } else if (message instanceof GossipMessages.Cancel cancel) {
             cancel(new PeerServer.RequestOrigin(origin.connection(), cancel.correlation()));
         } else if (message instanceof GossipMessages.Ping ping) {
--- a/node/src/main/java/org/anvillatch/node/call/EffectService.java
+++ b/node/src/main/java/org/anvillatch/node/call/EffectService.java
@@ -19,8 +19,8 @@
 import org.anvillatch.node.peer.PeerMessage;
 
 /**
- * Runs calls with an idempotency key at most once: each key is run only by the life of the host that issued it; other
- * hosts pass the call on to that host.
+ * Runs calls with an idempotency key at most once: each key is run only by the life of a host that owns it, because it
+ * issued the key or claimed it first on the log; other hosts pass the call on to that host.
  *
  * <p>Invariant: a call with a key is routed only after the ledger of the key's owner has answered that it may run. Owned
  * by the decision loop.
@@ -32,6 +32,7 @@
     private final HostState state;
     private final PeerClient peers;
     private final CallRouter router;
+    private final ClaimService claims;
     private final DecisionLog log;
 
     /**
@@ -41,31 +42,81 @@
      * @param state decision state of the host
      * @param peers sends to other hosts
      * @param router routes calls whose key is claimed
+     * @param claims finds the owners of keys that callers chose
      * @param log receives every decision
      */
-    public EffectService(DecisionLoop loop, HostState state, PeerClient peers, CallRouter router, DecisionLog log) {
+    public EffectService(
+            DecisionLoop loop,
+            HostState state,
+            PeerClient peers,
+            CallRouter router,
+            ClaimService claims,
+            DecisionLog log) {
         this.loop = loop;
         this.state = state;
         this.peers = peers;
         this.router = router;
+        this.claims = claims;
         this.log = log;
     }
 
     /**
      * Runs a call with a key at its owner.
      *
-     * @param call the call; its key is a bound key
+     * @param call the call; its key is bound or timed
      * @param reply receives the answer, on the loop
      */
     public void run(Call call, Consumer<CallAnswer> reply) {
-        Optional<BoundKey> key = BoundKey.parse(call.key());
-        if (key.isEmpty()) {
-            throw new IllegalArgumentException("not a bound key: " + call.key());
+        Optional<BoundKey> bound = BoundKey.parse(call.key());
+        if (bound.isPresent()) {
+            runAtOwner(call, bound.get().owner(), reply);
+        } else {
+            claims.resolve(
+                    call.key(), call.deadlineMicros(), (resolution, owner) -> resolved(call, resolution, owner, reply));
         }
-        if (key.get().owner().equals(self())) {
-            runHere(call, key.get(), reply);
+    }
+
+    private void resolved(
+            Call call, ClaimService.Resolution resolution, HostIdentity owner, Consumer<CallAnswer> reply) {
+        switch (resolution) {
+            case OWNED -> runAtOwner(call, owner, reply);
+            case TOO_OLD ->
+                reply.accept(CallAnswer.unknown("the key is older than the records that the log keeps", "", List.of()));
+            default ->
+                reply.accept(CallAnswer.refused(
+                        RefusalReason.CLAIM_UNAVAILABLE,
+                        "the key cannot be claimed: the platform's log does not answer; keys of POST /v1/keys go on",
+                        CallAnswer.LoadReport.NONE,
+                        call.retries(),
+                        self().name()));
+        }
+    }
+
+    private void runAtOwner(Call call, HostIdentity owner, Consumer<CallAnswer> reply) {
+        if (owner.equals(self())) {
+            runHere(call, reply);
+        } else {
+            passToOwner(call, owner, reply);
+        }
+    }
+
+    /**
+     * Runs a call that another host has passed on to this host as the owner of its key.
+     *
+     * @param call the call
+     * @param reply receives the answer, on the loop
+     */
+    public void runAsOwner(Call call, Consumer<CallAnswer> reply) {
+        boolean issuedElsewhere = BoundKey.parse(call.key())
+                .map(key -> !key.owner().equals(self()))
+                .orElse(false);
+        if (issuedElsewhere) {
+            reply.accept(ownerGone(BoundKey.parse(call.key()).get().owner()));
+        } else if (BoundKey.parse(call.key()).isPresent()) {
+            runHere(call, reply);
         } else {
-            passToOwner(call, key.get(), reply);
+            // The claim may have been read there first: this host reads it as well before it decides.
+            run(call, reply);
         }
     }
 
@@ -73,12 +124,12 @@
         return state.membership().self().host();
     }
 
-    private void runHere(Call call, BoundKey key, Consumer<CallAnswer> reply) {
-        Claim claim = state.ledger().claim(key, call.fingerprint());
+    private void runHere(Call call, Consumer<CallAnswer> reply) {
+        Claim claim = state.ledger().claim(call.key(), call.fingerprint());
         record(call, claim.verdict());
         if (claim.verdict() == Claim.Verdict.RUN) {
             router.route(call, answer -> {
-                state.ledger().ended(key, answer.outcome());
+                state.ledger().ended(call.key(), answer.outcome());
                 reply.accept(answer);
             });
         } else {
@@ -112,10 +163,10 @@
         };
     }
 
-    private void passToOwner(Call call, BoundKey key, Consumer<CallAnswer> reply) {
-        Member owner = state.membership().find(key.owner().name());
-        if (owner == null || !owner.host().equals(key.owner())) {
-            reply.accept(ownerGone(key));
+    private void passToOwner(Call call, HostIdentity ownerLife, Consumer<CallAnswer> reply) {
+        Member owner = state.membership().find(ownerLife.name());
+        if (owner == null || !owner.host().equals(ownerLife)) {
+            reply.accept(ownerGone(ownerLife));
             return;
         }
         long remaining = call.deadlineMicros() - loop.nowMicros();
@@ -131,20 +182,20 @@
         peers.send(owner.address(), message, remaining + ANSWER_GRACE_MICROS, new PeerClient.AnswerListener() {
             @Override
             public void answered(PeerMessage answer) {
-                reply.accept(answer instanceof CallAnswer callAnswer ? callAnswer : ownerGone(key));
+                reply.accept(answer instanceof CallAnswer callAnswer ? callAnswer : ownerGone(ownerLife));
             }
 
             @Override
             public void failed(PeerClient.PeerFailure failure) {
-                reply.accept(ownerGone(key));
+                reply.accept(ownerGone(ownerLife));
             }
         });
     }
 
-    private static CallAnswer ownerGone(BoundKey key) {
+    private static CallAnswer ownerGone(HostIdentity owner) {
         // Another attempt may have run there, so "not run" would be a guess even if nothing was sent now.
-        String detail = "host " + key.owner().name() + ", which issued the key, does not answer";
-        return CallAnswer.unknown(detail, key.owner().name(), List.of());
+        String detail = "host " + owner.name() + ", which owns the key, does not answer";
+        return CallAnswer.unknown(detail, owner.name(), List.of());
     }
 
     private void record(Call call, Claim.Verdict verdict) {
--- a/node/src/main/java/org/anvillatch/node/caller/CallHandler.java
+++ b/node/src/main/java/org/anvillatch/node/caller/CallHandler.java
@@ -1,6 +1,6 @@
 package org.anvillatch.node.caller;
 
-import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicLong;
 
 import com.codahale.metrics.MetricRegistry;
@@ -8,6 +8,8 @@
 import org.anvillatch.decision.configuration.Configuration;
 import org.anvillatch.decision.configuration.OperationPolicy;
 import org.anvillatch.decision.effect.BoundKey;
+import org.anvillatch.decision.effect.KeyClaims;
+import org.anvillatch.decision.effect.TimedKey;
 import org.anvillatch.decision.model.OperationName;
 import org.anvillatch.decision.model.Rank;
 import org.anvillatch.decision.model.RefusalReason;
@@ -251,14 +253,23 @@
             throw new HeaderException(CallHeaders.IDEMPOTENCY_KEY
                     + " is required: the operation is not idempotent. POST /v1/keys issues keys");
         }
-        Optional<BoundKey> bound = BoundKey.parse(key);
-        if (bound.isEmpty()) {
-            throw new HeaderException(CallHeaders.IDEMPOTENCY_KEY + " \"" + key
-                    + "\" was not issued by this system. POST /v1/keys issues keys");
+        if (BoundKey.parse(key).isEmpty()) {
+            checkTimedKey(key);
         }
         return key;
     }
 
+    private static void checkTimedKey(String key) throws HeaderException {
+        OptionalLong made = TimedKey.timeMillis(key);
+        if (made.isEmpty()) {
+            throw new HeaderException(CallHeaders.IDEMPOTENCY_KEY + " \"" + key
+                    + "\" is neither a key of POST /v1/keys nor a UUID of version 7 in lower case");
+        }
+        if (made.getAsLong() > System.currentTimeMillis() + KeyClaims.CLOCK_MARGIN_MILLIS) {
+            throw new HeaderException(CallHeaders.IDEMPOTENCY_KEY + " \"" + key + "\" was made in the future");
+        }
+    }
+
     private static String fingerprint(OperationName operation, CallBody body) {
         byte[] name = operation.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8);
         int seed = MurmurHash3.hash32x86(name);
--- a/testbed/src/main/java/org/anvillatch/testbed/capacity/CapacityMain.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/capacity/CapacityMain.java
@@ -274,7 +274,7 @@
         EffectLedger ledger = new EffectLedger(new HostIdentity("host", 1), EffectLedger.CAPACITY);
         long started = System.nanoTime();
         for (int round = 0; round < ROUNDS * 2; round++) {
-            ledger.claim(ledger.issue(), "fingerprint-" + round);
+            ledger.claim(ledger.issue().toString(), "fingerprint-" + round);
         }
         double micros = (System.nanoTime() - started) / NANOS_PER_MICRO / (ROUNDS * 2);
         long retained = heap() - before;
--- a/testbed/src/main/java/org/anvillatch/testbed/demo/CallersMain.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/demo/CallersMain.java
@@ -55,7 +55,7 @@
                     new NodeTarget(() -> addresses),
                     timer,
                     history,
-                    new Callers.Behaviour("demo", seed, RESENDS, RESEND_MILLIS, LATENCY_MICROS),
+                    new Callers.Behaviour("demo", seed, RESENDS, RESEND_MILLIS, LATENCY_MICROS, 0.5),
                     ending -> {
                         whole.addAndGet(ending.whole() ? 1 : 0);
                         if (ended.incrementAndGet() % PROGRESS_EVERY == 0) {
--- a/testbed/src/main/java/org/anvillatch/testbed/fault/FaultMain.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/fault/FaultMain.java
@@ -26,6 +26,7 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final double ROUND_SECONDS = 3;
     private static final double RATE = 60;
+    private static final double OWN_KEYS = 0.5;
     private static final int POISON_EVERY = 5;
     private static final int WRONG_ARGUMENTS = 2;
 
@@ -84,8 +85,8 @@
         for (int round = 1; round <= rounds; round++) {
             List<FaultRound.PlacedFault> faults = FaultRound.draw(site, random);
             boolean poison = round % POISON_EVERY == 0;
-            FaultRound.Parameters parameters =
-                    new FaultRound.Parameters("round" + round, random.nextLong(), ROUND_SECONDS, RATE, faults, poison);
+            FaultRound.Parameters parameters = new FaultRound.Parameters(
+                    "round" + round, random.nextLong(), ROUND_SECONDS, RATE, faults, poison, OWN_KEYS);
             HistoryChecker.Verdict verdict = new FaultRound(site, parameters).run();
             totals[0] += verdict.roots();
             totals[1] += verdict.whole();
--- a/testbed/src/main/java/org/anvillatch/testbed/fault/FaultRound.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/fault/FaultRound.java
@@ -32,9 +32,16 @@
      * @param rate arrivals a second
      * @param faults what goes wrong, from one quarter to three quarters of the round
      * @param poison whether a request that crashes endpoints is sent
+     * @param ownKeys share of requests whose idempotency key the caller makes itself
      */
     public record Parameters(
-            String name, long seed, double seconds, double rate, List<PlacedFault> faults, boolean poison) {}
+            String name,
+            long seed,
+            double seconds,
+            double rate,
+            List<PlacedFault> faults,
+            boolean poison,
+            double ownKeys) {}
 
     /**
      * A fault at a host.
@@ -71,7 +78,8 @@
                 new NodeTarget(this::callerAddresses),
                 site.timer(),
                 site.history(),
-                new Callers.Behaviour(parameters.name(), parameters.seed(), RESENDS, RESEND_MILLIS, 0),
+                new Callers.Behaviour(
+                        parameters.name(), parameters.seed(), RESENDS, RESEND_MILLIS, 0, parameters.ownKeys()),
                 ending -> {});
         trouble.start();
         if (parameters.poison()) {
--- a/testbed/src/main/java/org/anvillatch/testbed/load/Callers.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/load/Callers.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.UUID;
 import java.util.concurrent.Phaser;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -42,8 +43,10 @@
      * @param resends how often a caller sends a request again
      * @param resendMillis pause before a re-send
      * @param latencyMicros one-way latency between a caller and its node
+     * @param ownKeys share of requests whose idempotency key the caller makes itself, 0 to 1
      */
-    public record Behaviour(String run, long seed, int resends, long resendMillis, long latencyMicros) {}
+    public record Behaviour(
+            String run, long seed, int resends, long resendMillis, long latencyMicros, double ownKeys) {}
 
     /**
      * How one root request ended.
@@ -168,11 +171,22 @@
         open.register();
         if (root.operation.idempotent() || target.keyUrl(root.random) == null) {
             root.attempt();
+        } else if (root.random.nextDouble() < behaviour.ownKeys()) {
+            root.key = ownKey(root.random);
+            root.attempt();
         } else {
             fetchKey(root);
         }
     }
 
+    /** Makes a UUID of version 7. */
+    private static String ownKey(SplittableRandom random) {
+        long time = System.currentTimeMillis();
+        long high = time << 16 | 0x7000 | random.nextInt(0x1000);
+        long low = random.nextLong() & 0x3FFF_FFFF_FFFF_FFFFL | Long.MIN_VALUE;
+        return new UUID(high, low).toString();
+    }
+
     /** Waits until every request that was sent has ended. */
     public void awaitEnd() {
         open.arriveAndAwaitAdvance();
