Compare views less often in large systems, and stop an endpoint outside its lock

Change: the time between two comparisons grows by 1 ms for each known host (21 s at 16,000), hosts that are not readers read the log every 60 s; pings tell who lags. Found: a stand-in endpoint held its lock while it waited for its server to stop, whose thread waited for the lock; an experiment and a test run hung for minutes (seen in a thread dump).

--- a/decision/src/main/java/org/anvillatch/decision/membership/Membership.java
+++ b/decision/src/main/java/org/anvillatch/decision/membership/Membership.java
@@ -28,9 +28,12 @@
     /** Time a suspected host has to refute, in microseconds. */
     public static final long SUSPICION_MICROS = 2_000_000;
 
-    /** Time between two exchanges with a random or departed host, in microseconds. */
+    /** Least time between two comparisons of views, in microseconds. */
     public static final long SYNCHRONIZE_MICROS = 5_000_000;
 
+    /** Time added between two comparisons for each known host, in microseconds, since a comparison costs as much more. */
+    public static final long SYNCHRONIZE_MICROS_PER_HOST = 1_000;
+
     /** Time after which a dead host is forgotten, in microseconds. */
     public static final long FORGET_MICROS = 600_000_000;
 
@@ -81,7 +84,7 @@
             pingNext(nowMicros, random, actions);
         }
         if (nowMicros >= nextSynchronizeMicros) {
-            nextSynchronizeMicros = nowMicros + SYNCHRONIZE_MICROS;
+            nextSynchronizeMicros = nowMicros + SYNCHRONIZE_MICROS + members.size() * SYNCHRONIZE_MICROS_PER_HOST;
             synchronizeWithAny(random, actions);
         }
         return actions;
--- a/decision/src/main/java/org/anvillatch/decision/model/Outcome.java
+++ b/decision/src/main/java/org/anvillatch/decision/model/Outcome.java
@@ -1,5 +1,7 @@
 package org.anvillatch.decision.model;
 
+import java.util.Locale;
+
 /**
  * What a caller is told about one request. Immutable and thread safe.
  *
@@ -52,6 +54,6 @@
      * @return lower case words joined by a hyphen
      */
     public String wireName() {
-        return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 }
--- a/decision/src/main/java/org/anvillatch/decision/model/RefusalReason.java
+++ b/decision/src/main/java/org/anvillatch/decision/model/RefusalReason.java
@@ -1,5 +1,7 @@
 package org.anvillatch.decision.model;
 
+import java.util.Locale;
+
 /**
  * Why a request was refused. Immutable and thread safe.
  */
@@ -68,6 +70,6 @@
      * @return lower case words joined by a hyphen
      */
     public String wireName() {
-        return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 }
--- a/language/src/main/java/org/anvillatch/language/NearestWord.java
+++ b/language/src/main/java/org/anvillatch/language/NearestWord.java
@@ -1,6 +1,7 @@
 package org.anvillatch.language;
 
 import java.util.Collection;
+import java.util.Locale;
 
 /**
  * Finds the valid word that a misspelt word most likely stands for. Stateless and thread safe.
@@ -21,7 +22,7 @@
         String nearest = null;
         int fewest = Math.min(MOST_EDITS, given.length() / 2) + 1;
         for (String word : valid) {
-            int edits = edits(given.toLowerCase(java.util.Locale.ROOT), word.toLowerCase(java.util.Locale.ROOT));
+            int edits = edits(given.toLowerCase(Locale.ROOT), word.toLowerCase(Locale.ROOT));
             if (edits < fewest) {
                 fewest = edits;
                 nearest = word;
--- a/language/src/main/java/org/anvillatch/language/ScriptBuilder.java
+++ b/language/src/main/java/org/anvillatch/language/ScriptBuilder.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 
 import org.antlr.v4.runtime.ParserRuleContext;
 import org.anvillatch.decision.configuration.ConfigurationChange;
@@ -165,7 +166,7 @@
     public Void visitShowShed(OperatorParser.ShowShedContext context) {
         Question.Grouping grouping = context.grouping() == null
                 ? Question.Grouping.OPERATION
-                : Question.Grouping.valueOf(context.grouping().getText().toUpperCase(java.util.Locale.ROOT));
+                : Question.Grouping.valueOf(context.grouping().getText().toUpperCase(Locale.ROOT));
         int next = 0;
         int top = context.TOP() == null ? DEFAULT_TOP : number(context.number(next++));
         int last = context.LAST() == null ? DEFAULT_LAST_SECONDS : number(context.number(next));
--- a/language/src/main/java/org/anvillatch/language/ScriptParser.java
+++ b/language/src/main/java/org/anvillatch/language/ScriptParser.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 
 import org.antlr.v4.runtime.BaseErrorListener;
 import org.antlr.v4.runtime.CharStreams;
@@ -117,7 +118,7 @@
             }
             String literal = vocabulary.getLiteralName(token);
             return literal == null
-                    ? vocabulary.getSymbolicName(token).toLowerCase(java.util.Locale.ROOT)
+                    ? vocabulary.getSymbolicName(token).toLowerCase(Locale.ROOT)
                     : literal.replace("'", "");
         }
     }
--- a/node/src/main/java/org/anvillatch/node/NodePeerHandler.java
+++ b/node/src/main/java/org/anvillatch/node/NodePeerHandler.java
@@ -1,6 +1,7 @@
 package org.anvillatch.node;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
 
@@ -86,13 +87,11 @@
     }
 
     private void dispatch(PeerServer.RequestOrigin origin, DispatchMessage message, PeerServer.Reply reply) {
-        boolean[] answered = new boolean[1];
         long number = services.gatekeeping().dispatch(message, answer -> {
-            answered[0] = true;
             dispatches.remove(origin);
             reply.send(answer);
         });
-        if (!answered[0]) {
+        if (services.gatekeeping().isOpen(number)) {
             dispatches.put(origin, number);
         }
     }
@@ -120,7 +119,7 @@
     public void connectionClosed(PeerConnection connection) {
         loop.execute(() -> {
             // The sender is gone or cut off: nobody waits for what has not started.
-            for (PeerServer.RequestOrigin origin : java.util.List.copyOf(dispatches.keySet())) {
+            for (PeerServer.RequestOrigin origin : List.copyOf(dispatches.keySet())) {
                 if (origin.connection() == connection) {
                     cancel(origin);
                 }
--- a/node/src/main/java/org/anvillatch/node/NodeServer.java
+++ b/node/src/main/java/org/anvillatch/node/NodeServer.java
@@ -1,5 +1,6 @@
 package org.anvillatch.node;
 
+import java.io.IOException;
 import java.util.List;
 
 import org.anvillatch.node.peer.PeerServer;
@@ -76,7 +77,7 @@
     private static void open(ServerConnector connector) throws StartException {
         try {
             connector.open();
-        } catch (java.io.IOException failure) {
+        } catch (IOException failure) {
             String address = connector.getHost() + ":" + connector.getPort();
             throw new StartException(
                     "--" + connector.getName() + " " + address + ": cannot listen: " + rootMessage(failure), failure);
--- a/node/src/main/java/org/anvillatch/node/call/CallRouter.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallRouter.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -214,7 +215,7 @@
                         host,
                         CallAnswer.refused(RefusalReason.NO_ENDPOINT, detail, CallAnswer.LoadReport.NONE, 0, name));
             } else {
-                retryOrEnd(host, CallAnswer.unknown("host " + name + " gave no answer", name, java.util.List.of()));
+                retryOrEnd(host, CallAnswer.unknown("host " + name + " gave no answer", name, List.of()));
             }
         }
 
--- a/node/src/main/java/org/anvillatch/node/call/ClaimService.java
+++ b/node/src/main/java/org/anvillatch/node/call/ClaimService.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
@@ -209,7 +210,7 @@
         }
     }
 
-    private void end(java.util.function.Predicate<Pending> condition, Resolution resolution) {
+    private void end(Predicate<Pending> condition, Resolution resolution) {
         for (Pending request : List.copyOf(pending)) {
             if (condition.test(request)) {
                 pending.remove(request);
--- a/node/src/main/java/org/anvillatch/node/call/EffectService.java
+++ b/node/src/main/java/org/anvillatch/node/call/EffectService.java
@@ -1,6 +1,7 @@
 package org.anvillatch.node.call;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.function.Consumer;
 
@@ -208,7 +209,7 @@
                 call.operation().toString(),
                 Rank.importance(call.context().rank()),
                 self().name(),
-                verdict.name().toLowerCase(java.util.Locale.ROOT),
+                verdict.name().toLowerCase(Locale.ROOT),
                 "",
                 0,
                 call.retries()));
--- a/node/src/main/java/org/anvillatch/node/call/Gatekeeping.java
+++ b/node/src/main/java/org/anvillatch/node/call/Gatekeeping.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -83,7 +84,7 @@
         private final Consumer<CallAnswer> reply;
         private final long deadlineMicros;
         private final RetryBudget budget;
-        private final Set<String> nestedNumbers = new java.util.HashSet<>();
+        private final Set<String> nestedNumbers = new HashSet<>();
         private final List<CallRouter.Route> nested = new ArrayList<>();
         private Runnable abort = () -> {};
         private long startedMicros;
@@ -178,6 +179,16 @@
         return number;
     }
 
+    /**
+     * Tells whether a dispatch is not answered yet.
+     *
+     * @param number number of the dispatch
+     * @return true while it waits or runs
+     */
+    public boolean isOpen(long number) {
+        return executions.containsKey(number);
+    }
+
     /**
      * Withdraws a dispatch; it is still answered.
      *
--- a/node/src/main/java/org/anvillatch/node/caller/CallHandler.java
+++ b/node/src/main/java/org/anvillatch/node/caller/CallHandler.java
@@ -1,6 +1,8 @@
 package org.anvillatch.node.caller;
 
+import java.nio.charset.StandardCharsets;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
 import com.codahale.metrics.MetricRegistry;
@@ -271,7 +273,7 @@
     }
 
     private static String fingerprint(OperationName operation, CallBody body) {
-        byte[] name = operation.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        byte[] name = operation.toString().getBytes(StandardCharsets.UTF_8);
         int seed = MurmurHash3.hash32x86(name);
         long[] hash = MurmurHash3.hash128x64(body.content(), 0, body.content().length, seed);
         return String.format("%08x%016x%016x", seed, hash[0], hash[1]);
@@ -279,7 +281,7 @@
 
     private void finish(
             Exchange exchange, Call call, CallAnswer answer, Gatekeeping.Execution parent, long startedNanos) {
-        timer.update(System.nanoTime() - startedNanos, java.util.concurrent.TimeUnit.NANOSECONDS);
+        timer.update(System.nanoTime() - startedNanos, TimeUnit.NANOSECONDS);
         if (parent != null) {
             parent.budget().giveBack(answer.unspentRetries());
             state.gatekeeper()
--- a/node/src/main/java/org/anvillatch/node/caller/HttpAnswers.java
+++ b/node/src/main/java/org/anvillatch/node/caller/HttpAnswers.java
@@ -13,6 +13,7 @@
 import org.anvillatch.node.endpoint.CallHeaders;
 import org.anvillatch.node.peer.FrameCodec;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 
@@ -85,7 +86,7 @@
      */
     public static void text(Response response, String text, Callback callback) {
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/plain; charset=utf-8");
-        org.eclipse.jetty.io.Content.Sink.write(response, true, text, callback);
+        Content.Sink.write(response, true, text, callback);
     }
 
     /**
--- a/node/src/main/java/org/anvillatch/node/configuration/ConfigurationService.java
+++ b/node/src/main/java/org/anvillatch/node/configuration/ConfigurationService.java
@@ -43,7 +43,7 @@
     public static final long READ_PERIOD_MICROS = 200_000;
 
     private static final Logger LOG = LoggerFactory.getLogger(ConfigurationService.class);
-    private static final long SLOW_READ_PERIOD_MICROS = 5_000_000;
+    private static final long SLOW_READ_PERIOD_MICROS = 60_000_000;
     private static final int READERS_PER_DOMAIN = 3;
     private static final int PUSH_FANOUT = 4;
     private static final int RECENT_RECORDS = 256;
--- a/node/src/main/java/org/anvillatch/node/decisionlog/DecisionLog.java
+++ b/node/src/main/java/org/anvillatch/node/decisionlog/DecisionLog.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
@@ -88,7 +90,7 @@
     private void write() {
         try {
             while (!stopping || !queue.isEmpty()) {
-                Decision decision = queue.poll(STOP_MILLIS / 10, java.util.concurrent.TimeUnit.MILLISECONDS);
+                Decision decision = queue.poll(STOP_MILLIS / 10, TimeUnit.MILLISECONDS);
                 if (decision != null) {
                     LINES.info(format.line(decision));
                 }
@@ -153,7 +155,7 @@
                                 && decision.candidate().isEmpty());
     }
 
-    private List<Decision> select(java.util.function.Predicate<Decision> condition) {
+    private List<Decision> select(Predicate<Decision> condition) {
         List<Decision> selected = new ArrayList<>();
         synchronized (remembered) {
             for (Decision decision : remembered) {
--- a/node/src/main/java/org/anvillatch/node/endpoint/EndpointClient.java
+++ b/node/src/main/java/org/anvillatch/node/endpoint/EndpointClient.java
@@ -1,7 +1,9 @@
 package org.anvillatch.node.endpoint;
 
 import java.net.ConnectException;
+import java.net.SocketTimeoutException;
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
@@ -13,7 +15,9 @@
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.client.transport.HttpClientTransportDynamic;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.io.ClientConnector;
@@ -96,7 +100,7 @@
         connector.setSelectors(1);
         connector.setExecutor(executor);
         connector.setScheduler(scheduler);
-        client = new HttpClient(new org.eclipse.jetty.client.transport.HttpClientTransportDynamic(connector));
+        client = new HttpClient(new HttpClientTransportDynamic(connector));
         client.setExecutor(executor);
         client.setScheduler(scheduler);
         client.setFollowRedirects(false);
@@ -181,14 +185,14 @@
         }
 
         @Override
-        public void onHeaders(org.eclipse.jetty.client.Response response) {
+        public void onHeaders(Response response) {
             super.onHeaders(response);
             if (isMismatched(response)) {
                 response.abort(new IllegalStateException("answer names another execution"));
             }
         }
 
-        private boolean isMismatched(org.eclipse.jetty.client.Response response) {
+        private boolean isMismatched(Response response) {
             String named = response.getHeaders().get(CallHeaders.CONTEXT);
             return named != null && !named.equals(execution);
         }
@@ -217,8 +221,8 @@
             } else if (cause instanceof TimeoutException) {
                 ending = Ending.TIMED_OUT;
             } else if (cause instanceof ConnectException
-                    || cause instanceof java.net.SocketTimeoutException
-                    || cause instanceof java.util.concurrent.RejectedExecutionException) {
+                    || cause instanceof SocketTimeoutException
+                    || cause instanceof RejectedExecutionException) {
                 ending = Ending.NOT_CONNECTED;
             } else {
                 ending = Ending.BROKEN;
--- a/node/src/main/java/org/anvillatch/node/endpoint/EndpointHandler.java
+++ b/node/src/main/java/org/anvillatch/node/endpoint/EndpointHandler.java
@@ -10,6 +10,7 @@
 import org.anvillatch.node.caller.HttpAnswers;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
+import org.anvillatch.node.peer.FrameCodec;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
@@ -32,7 +33,7 @@
     private static final int ACCEPTED = 202;
     private static final int BAD_REQUEST = 400;
     private static final int CONFLICT = 409;
-    private static final ObjectMapper MAPPER = org.anvillatch.node.peer.FrameCodec.configure(new ObjectMapper());
+    private static final ObjectMapper MAPPER = FrameCodec.configure(new ObjectMapper());
 
     private final DecisionLoop loop;
     private final HostState state;
--- a/node/src/main/java/org/anvillatch/node/operator/OperatorTables.java
+++ b/node/src/main/java/org/anvillatch/node/operator/OperatorTables.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -29,7 +30,7 @@
                 Long.toString(verdict.offset()),
                 Instant.ofEpochMilli(verdict.writtenMillis()).toString(),
                 verdict.author(),
-                verdict.decision().name().toLowerCase(java.util.Locale.ROOT),
+                verdict.decision().name().toLowerCase(Locale.ROOT),
                 verdict.change(),
                 String.join("; ", verdict.statements()));
     }
@@ -90,7 +91,7 @@
                 host.domain(),
                 host.state(),
                 host.service(),
-                host.gatekeeper().phase().name().toLowerCase(java.util.Locale.ROOT),
+                host.gatekeeper().phase().name().toLowerCase(Locale.ROOT),
                 Integer.toString(host.gatekeeper().slots()),
                 Integer.toString(host.gatekeeper().limit()),
                 Integer.toString(host.gatekeeper().running()),
@@ -114,7 +115,7 @@
                 .limit(question.top())
                 .map(entry -> List.of(entry.getKey(), entry.getValue().toString()))
                 .toList();
-        String column = question.grouping().name().toLowerCase(java.util.Locale.ROOT);
+        String column = question.grouping().name().toLowerCase(Locale.ROOT);
         return new CommandAnswer.Table("refused", List.of(column, "refusals"), rows);
     }
 
@@ -155,7 +156,7 @@
         return List.of(
                 Instant.ofEpochMilli(decision.atMillis()).toString(),
                 decision.node(),
-                decision.kind().name().toLowerCase(java.util.Locale.ROOT),
+                decision.kind().name().toLowerCase(Locale.ROOT),
                 Integer.toString(decision.attempt()),
                 decision.operation(),
                 decision.candidate(),
--- a/node/src/main/java/org/anvillatch/node/peer/PeerConnection.java
+++ b/node/src/main/java/org/anvillatch/node/peer/PeerConnection.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeoutException;
 
 import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.EndPoint;
@@ -156,7 +157,7 @@
     }
 
     @Override
-    public boolean onIdleExpired(java.util.concurrent.TimeoutException timeout) {
+    public boolean onIdleExpired(TimeoutException timeout) {
         return true;
     }
 
--- a/node/src/main/java/org/anvillatch/node/platform/HttpPlatformLog.java
+++ b/node/src/main/java/org/anvillatch/node/platform/HttpPlatformLog.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.ConnectException;
+import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -37,7 +38,7 @@
     private final String address;
     private final HttpClient client;
 
-    private record ReadAnswer(long first, long next, java.util.List<Entry> records) {}
+    private record ReadAnswer(long first, long next, List<Entry> records) {}
 
     /**
      * Creates the client.
--- a/node/src/main/java/org/anvillatch/node/settings/SettingsParser.java
+++ b/node/src/main/java/org/anvillatch/node/settings/SettingsParser.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.anvillatch.decision.admission.AdmissionFeatures;
 import org.anvillatch.decision.configuration.Finding;
@@ -149,8 +150,8 @@
         return new Value(setting.byDefault, "default");
     }
 
-    private static final java.util.Set<String> LOGBACK_VARIABLES =
-            java.util.Set.of("ANVILLATCH_LEVEL", "ANVILLATCH_LIBRARY_LEVEL", "ANVILLATCH_DECISION_LEVEL");
+    private static final Set<String> LOGBACK_VARIABLES =
+            Set.of("ANVILLATCH_LEVEL", "ANVILLATCH_LIBRARY_LEVEL", "ANVILLATCH_DECISION_LEVEL");
 
     private void rejectUnknownVariables(Map<String, String> environment) {
         for (String variable : environment.keySet()) {
--- a/operator/src/main/java/org/anvillatch/operator/OperatorMain.java
+++ b/operator/src/main/java/org/anvillatch/operator/OperatorMain.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
@@ -95,7 +96,7 @@
     }
 
     private static String setting(CommandLine line, Map<String, String> environment, String name, String absent) {
-        String variable = "ANVILLATCH_" + name.toUpperCase(java.util.Locale.ROOT);
+        String variable = "ANVILLATCH_" + name.toUpperCase(Locale.ROOT);
         return line.getOptionValue(name, environment.getOrDefault(variable, absent));
     }
 
@@ -153,8 +154,7 @@
             result.findings().forEach(finding -> err.println(finding.place() + ": " + finding.message()));
             result.tables().forEach(table -> TablePrinter.print(table, out));
             PrintStream target = result.exitStatus() == ExitStatus.DONE ? out : err;
-            target.println(
-                    result.result().toLowerCase(java.util.Locale.ROOT).replace('_', ' ') + ": " + result.message());
+            target.println(result.result().toLowerCase(Locale.ROOT).replace('_', ' ') + ": " + result.message());
         }
     }
 }
--- a/testbed/src/main/java/org/anvillatch/testbed/capacity/CapacityMain.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/capacity/CapacityMain.java
@@ -3,6 +3,7 @@
 import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -20,6 +21,7 @@
 import org.anvillatch.decision.membership.Member;
 import org.anvillatch.decision.membership.MemberStatus;
 import org.anvillatch.decision.membership.Membership;
+import org.anvillatch.decision.membership.MembershipAction;
 import org.anvillatch.decision.membership.MembershipDigest;
 import org.anvillatch.decision.model.HostIdentity;
 import org.anvillatch.decision.model.OperationName;
@@ -150,7 +152,7 @@
         for (int round = 0; round < ROUNDS; round++) {
             now += STEP_MICROS;
             membership.tick(now, random).forEach(action -> {
-                if (action instanceof org.anvillatch.decision.membership.MembershipAction.Ping ping) {
+                if (action instanceof MembershipAction.Ping ping) {
                     membership.answered(ping.target());
                 }
             });
@@ -179,7 +181,7 @@
 
     private static Row oneBucket(Membership membership, int members) throws FrameException {
         int buckets = MembershipDigest.buckets(members);
-        java.util.Set<Integer> one = java.util.Set.of(0);
+        Set<Integer> one = Set.of(0);
         List<Member> differing = MembershipDigest.select(membership.all(), one, buckets);
         PeerMessage answer = new GossipMessages.SynchronizeAnswer(one, differing, List.of(), 39_000);
         return new Row("membership: one differing bucket", members, 0, 0, size(answer));
@@ -207,8 +209,7 @@
 
     private static void choose(EndpointSelector selector, SplittableRandom random, int round) {
         OperationName operation = new OperationName("service-" + round % 20, "read");
-        EndpointSelector.Request request =
-                new EndpointSelector.Request(operation, 200, java.util.Set.of(), java.util.Set.of());
+        EndpointSelector.Request request = new EndpointSelector.Request(operation, 200, Set.of(), Set.of());
         RouteChoice choice = selector.choose(request, round, random);
         if (choice.isChosen()) {
             selector.sent(choice.host());
--- a/testbed/src/main/java/org/anvillatch/testbed/endpoint/EndpointAgent.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/endpoint/EndpointAgent.java
@@ -1,5 +1,6 @@
 package org.anvillatch.testbed.endpoint;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -117,7 +118,7 @@
         }
     }
 
-    private java.util.concurrent.CompletableFuture<Integer> request(HttpMethod method, String body) {
+    private CompletableFuture<Integer> request(HttpMethod method, String body) {
         return new CompletableResponseListener(client.newRequest(nodeUrl)
                         .method(method)
                         .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
@@ -131,7 +132,7 @@
      *
      * @return completes with the node's status
      */
-    public java.util.concurrent.CompletableFuture<Integer> leave() {
+    public CompletableFuture<Integer> leave() {
         leaving = true;
         return request(HttpMethod.DELETE, "").whenComplete((status, failure) -> {
             if (failure == null) {
--- a/testbed/src/main/java/org/anvillatch/testbed/endpoint/EndpointStandIn.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/endpoint/EndpointStandIn.java
@@ -19,6 +19,7 @@
 import org.anvillatch.testbed.site.ServiceSpec;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -125,7 +126,7 @@
         }
         record(HistoryEvent.life(History.nowMicros(), Kind.CRASH, name, service.name()));
         open.close();
-        open.getConnectedEndPoints().forEach(org.eclipse.jetty.io.EndPoint::close);
+        open.getConnectedEndPoints().forEach(EndPoint::close);
         context.timer().execute(this::stopServer);
     }
 
@@ -134,9 +135,14 @@
         stopServer();
     }
 
-    private synchronized void stopServer() {
+    private void stopServer() {
+        Server current;
+        synchronized (this) {
+            current = server;
+        }
         try {
-            server.stop();
+            // Outside the lock: the server waits for its threads, which may wait for the lock.
+            current.stop();
         } catch (Exception failure) {
             throw new IllegalStateException("endpoint " + name + " does not stop", failure);
         }
--- a/testbed/src/main/java/org/anvillatch/testbed/experiment/ExperimentPlan.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/experiment/ExperimentPlan.java
@@ -1,8 +1,10 @@
 package org.anvillatch.testbed.experiment;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.function.DoubleUnaryOperator;
 
+import org.anvillatch.testbed.platform.LogStandIn;
 import org.anvillatch.testbed.site.NodeProcess;
 import org.anvillatch.testbed.site.SiteRun;
 
@@ -58,12 +60,12 @@
     PLATFORM_DOWN("the platform's log is down", 0.7, 0.7) {
         @Override
         void begin(SiteRun site, String bottleneck) {
-            site.log().setMode(org.anvillatch.testbed.platform.LogStandIn.Mode.DOWN);
+            site.log().setMode(LogStandIn.Mode.DOWN);
         }
 
         @Override
         void end(SiteRun site, String bottleneck) {
-            site.log().setMode(org.anvillatch.testbed.platform.LogStandIn.Mode.UP);
+            site.log().setMode(LogStandIn.Mode.UP);
         }
     },
     /** One worker of each service is stopped gracefully and started again. */
@@ -133,6 +135,6 @@
     }
 
     String label() {
-        return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 }
--- a/testbed/src/main/java/org/anvillatch/testbed/experiment/Variant.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/experiment/Variant.java
@@ -1,5 +1,7 @@
 package org.anvillatch.testbed.experiment;
 
+import java.util.Locale;
+
 /**
  * How calls are made in an experiment. Immutable and thread safe.
  */
@@ -43,6 +45,6 @@
      * @return lower case words joined by a hyphen
      */
     public String label() {
-        return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 }
--- a/testbed/src/main/java/org/anvillatch/testbed/experiment/VariantRun.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/experiment/VariantRun.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
 
 import org.anvillatch.testbed.history.History;
 import org.anvillatch.testbed.history.HistoryChecker;
@@ -164,7 +165,7 @@
 
     private static void print(HistoryChecker.Verdict verdict) {
         verdict.violations().stream()
-                .collect(java.util.stream.Collectors.groupingBy(HistoryChecker.Violation::promise))
+                .collect(Collectors.groupingBy(HistoryChecker.Violation::promise))
                 .forEach((promise, violations) -> {
                     System.out.println("  BROKEN " + promise + ": " + violations.size() + " times");
                     violations.stream()
--- a/testbed/src/main/java/org/anvillatch/testbed/load/HttpSender.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/load/HttpSender.java
@@ -2,6 +2,7 @@
 
 import java.net.ConnectException;
 import java.util.Map;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 
 import org.anvillatch.node.endpoint.CallHeaders;
@@ -98,7 +99,7 @@
     private static Answer toAnswer(Result result, byte[] content) {
         if (result.isFailed()) {
             boolean neverSent = result.getFailure() instanceof ConnectException
-                    || result.getFailure() instanceof java.util.concurrent.RejectedExecutionException;
+                    || result.getFailure() instanceof RejectedExecutionException;
             return new Answer(neverSent ? "not-run" : "unknown", neverSent ? "unreachable" : null, 0, new byte[0]);
         }
         int status = result.getResponse().getStatus();
