--- a/testbed/src/main/java/org/anvillatch/testbed/experiment/ExperimentPlan.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/experiment/ExperimentPlan.java
@@ -20,6 +20,11 @@
     SURGE_4X("offered load of four times the capacity", 0.7, 4),
     /** The bottleneck service becomes five times slower while callers retry. */
     SLOW_SERVICE("the deepest service is five times slower", 0.7, 0.7) {
+        @Override
+        double capacityFactor() {
+            return 1 / SLOW_FACTOR;
+        }
+
         @Override
         void begin(SiteRun site, String bottleneck) {
             setSlowdown(site, bottleneck, SLOW_FACTOR);
@@ -105,6 +110,11 @@
         return at -> capacity * (at >= triggerStart && at < triggerEnd ? triggerLoad : load);
     }
 
+    /** Capacity under the trigger as a part of the usual one. */
+    double capacityFactor() {
+        return 1;
+    }
+
     /** Begins the trigger. */
     void begin(SiteRun site, String bottleneck) throws Exception {
         // The change of the offered load is the whole trigger.
--- a/testbed/src/main/java/org/anvillatch/testbed/experiment/Measurer.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/experiment/Measurer.java
@@ -53,7 +53,15 @@
         this.events = events;
     }
 
-    Measurement measure(Variant variant, int violations) {
+    /**
+     * Works out the figures.
+     *
+     * @param variant the variant that ran
+     * @param capacityFactor capacity under the trigger as a part of the usual one
+     * @param violations promises that the history checker found broken
+     * @return the figures
+     */
+    Measurement measure(Variant variant, double capacityFactor, int violations) {
         Set<String> whole = wholeRoots();
         List<Callers.Ending> during = between(times.triggerStartMicros(), times.triggerEndMicros());
         int important = spec.importances().size() - 1;
@@ -71,7 +79,7 @@
                 variant.label(),
                 round(bottleneck.rootsPerSecond()),
                 round(offered),
-                round(goodput(whole, offered)),
+                round(goodput(whole, offered / capacityFactor)),
                 round(importantAll == 0 ? 1 : (double) importantWhole / importantAll),
                 (int) (importantAll - importantWhole),
                 round(wasted(whole)),
--- a/testbed/src/main/java/org/anvillatch/testbed/experiment/VariantRun.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/experiment/VariantRun.java
@@ -106,7 +106,10 @@
             print(verdict);
         }
         Measurement measurement = new Measurer(parameters.spec(), bottleneck, times, endings, events)
-                .measure(variant, verdict.violations().size());
+                .measure(
+                        variant,
+                        parameters.plan().capacityFactor(),
+                        verdict.violations().size());
         return new Result(measurement, endings, times);
     }
 
