Bring a slow endpoint back to its slots within a few executions

Cause: the limit falls by a tenth for each timeout, down to 1, and grew by 1/limit for each success: from 1 to 40 slots takes about 40 round trips. Ruled out: shed levels (they had fallen), the retry ratio. Change: the limit grows by one for each success and does not fall below its start; GatekeeperTest.slowEndpointIsBackAtItsSlotsAfterAFewExecutions failed first.

--- a/decision/src/main/java/org/anvillatch/decision/admission/ConcurrencyLimit.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/ConcurrencyLimit.java
@@ -1,22 +1,23 @@
 package org.anvillatch.decision.admission;
 
 /**
- * How many executions one endpoint is given at a time. The limit starts low on a cold endpoint, grows with
- * successful executions up to the announced slots, and falls when the endpoint rejects work or times out, so an
- * announcement that promises too much is corrected by what is observed.
+ * How many executions one endpoint is given at a time. The limit starts low on a cold endpoint, grows by one with each
+ * successful execution up to the announced slots, and falls when the endpoint rejects work or times out, so an
+ * announcement that promises too much is corrected by what is observed. It does not fall below its start, so that an
+ * endpoint which was slow is back at its slots within a few executions.
  *
  * <p>Invariant: {@code 1 <= limit <= slots}. Not thread safe: owned by the host's decision loop.
  */
 public final class ConcurrencyLimit {
-    /** Share of the slots given to a cold endpoint. */
+    /** Share of the slots given to a cold endpoint, and at least to any other. */
     public static final double COLD_SHARE = 0.25;
 
     private static final double DECREASE_FACTOR = 0.9;
     private static final long DECREASE_PAUSE_MICROS = 50_000;
 
     private final int slots;
+    private final double least;
     private double limit;
-    private boolean warm;
     private long nextDecreaseMicros;
 
     /**
@@ -29,7 +30,8 @@
             throw new IllegalArgumentException("slots must be at least 1 but is " + slots);
         }
         this.slots = slots;
-        this.limit = Math.max(1, slots * COLD_SHARE);
+        this.least = Math.max(1, slots * COLD_SHARE);
+        this.limit = least;
     }
 
     /**
@@ -52,9 +54,7 @@
 
     /** Notes an execution that the endpoint accepted and finished. */
     public void succeeded() {
-        double growth = warm ? 1 / limit : 1;
-        limit = Math.min(slots, limit + growth);
-        warm |= limit >= slots;
+        limit = Math.min(slots, limit + 1);
     }
 
     /**
@@ -67,7 +67,6 @@
             return;
         }
         nextDecreaseMicros = nowMicros + DECREASE_PAUSE_MICROS;
-        warm = true;
-        limit = Math.max(1, limit * DECREASE_FACTOR);
+        limit = Math.max(least, limit * DECREASE_FACTOR);
     }
 }
--- a/decision/src/test/java/org/anvillatch/decision/admission/GatekeeperTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/admission/GatekeeperTest.java
@@ -114,6 +114,24 @@
         assertThat(gatekeeper.status().limit()).isLessThan(before);
     }
 
+    @Test
+    void slowEndpointIsBackAtItsSlotsAfterAFewExecutions() {
+        gatekeeper.announced(40);
+        long now = 0;
+        for (int execution = 0; execution < 200; execution++) {
+            now += 100_000;
+            gatekeeper.offer(new Work(execution, OPERATION, IMPORTANT, now + FAR), now);
+            gatekeeper.finished(execution, ExecutionEnding.TIMED_OUT, 10, OPERATION, now);
+        }
+        int slow = gatekeeper.status().limit();
+        for (int execution = 200; execution < 230; execution++) {
+            gatekeeper.offer(new Work(execution, OPERATION, IMPORTANT, now + FAR), now);
+            gatekeeper.finished(execution, ExecutionEnding.ANSWERED, 10, OPERATION, now);
+        }
+        assertThat(slow).isEqualTo(10);
+        assertThat(gatekeeper.status().limit()).isEqualTo(40);
+    }
+
     @Test
     void downstreamLevelRefusesEveryOperationThatMakesTheCall() {
         OperationName feed = new OperationName("catalogue", "feed");
