Report only reduced records as covered, and claim a key again after a lost append

Found by reading the whole change. Cause of the first: pings and the status of a host gave the offset to read next, less one, as what it has reduced; a host that holds records behind a gap was taken to have them in force, also by the answer to an operator. The reducer now names its covered offset, which all three places use; ConfigurationReducerTest checks it (it did not compile before, there was no such value). Cause of the second: a claim whose append was truly lost stayed marked as written, so its key was refused on that host for ever; ClaimServiceTest.keyWhoseAppendWasLostCanBeClaimedAgain failed first (NOT_CLAIMED, expected OWNED).

--- a/decision/src/main/java/org/anvillatch/decision/configuration/ConfigurationReducer.java
+++ b/decision/src/main/java/org/anvillatch/decision/configuration/ConfigurationReducer.java
@@ -166,6 +166,15 @@
         return current;
     }
 
+    /**
+     * Returns how much of the stream is reduced; records behind a gap do not count.
+     *
+     * @return offset of the last reduced record, -1 if there is none
+     */
+    public long coveredOffset() {
+        return coveredOffset;
+    }
+
     /**
      * Returns the offset to read next.
      *
--- a/decision/src/test/java/org/anvillatch/decision/configuration/ConfigurationReducerTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/configuration/ConfigurationReducerTest.java
@@ -40,6 +40,8 @@
         reducer.take(5, bound("late", Configuration.NO_VERSION, 9));
         assertThat(reducer.isKnown()).isFalse();
         assertThat(reducer.current().version()).isEqualTo(Configuration.NO_VERSION);
+        assertThat(reducer.nextOffset()).isEqualTo(6);
+        assertThat(reducer.coveredOffset()).isEqualTo(-1);
     }
 
     @Test
--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -217,7 +217,7 @@
                 state.gatekeeper().status(),
                 endpointHandler.reportedRunning(),
                 state.configuration().current().version(),
-                state.configuration().nextOffset() - 1,
+                state.configuration().coveredOffset(),
                 presentHosts(),
                 phase);
     }
--- a/node/src/main/java/org/anvillatch/node/call/ClaimService.java
+++ b/node/src/main/java/org/anvillatch/node/call/ClaimService.java
@@ -140,12 +140,11 @@
     }
 
     private void appended(List<String> keys, PlatformLog.AppendResult result) {
-        claimedHere.removeAll(keys);
         if (result == PlatformLog.AppendResult.NOT_APPENDED) {
+            claimedHere.removeAll(keys);
             end(request -> keys.contains(request.key()), Resolution.NOT_CLAIMED);
         } else {
             // Also if the answer was lost: the record may be in the stream.
-            claimedHere.addAll(keys);
             read();
         }
     }
@@ -171,7 +170,8 @@
         long now = loop.nowMicros();
         end(request -> now >= request.deadlineMicros(), Resolution.NOT_CLAIMED);
         if (!pending.isEmpty()) {
-            loop.schedule(caughtUp ? POLL_MICROS : 0, this::read);
+            boolean moreToRead = result.available() && !caughtUp;
+            loop.schedule(moreToRead ? 0 : POLL_MICROS, this::read);
         }
     }
 
@@ -214,6 +214,8 @@
         for (Pending request : List.copyOf(pending)) {
             if (condition.test(request)) {
                 pending.remove(request);
+                // A later attempt claims again: if the lost record turns up after all, the first offset still decides.
+                claimedHere.remove(request.key());
                 request.listener().resolved(resolution, null);
             }
         }
--- a/node/src/main/java/org/anvillatch/node/configuration/ConfigurationService.java
+++ b/node/src/main/java/org/anvillatch/node/configuration/ConfigurationService.java
@@ -201,7 +201,7 @@
     }
 
     private long covered() {
-        return state.configuration().snapshot().coveredOffset();
+        return state.configuration().coveredOffset();
     }
 
     private void push(long coveredBefore) {
--- a/node/src/main/java/org/anvillatch/node/membership/MembershipService.java
+++ b/node/src/main/java/org/anvillatch/node/membership/MembershipService.java
@@ -64,7 +64,7 @@
     }
 
     private long covered() {
-        return state.configuration().nextOffset() - 1;
+        return state.configuration().coveredOffset();
     }
 
     private void ping(String address, String target) {
--- /dev/null
+++ b/node/src/test/java/org/anvillatch/node/call/ClaimServiceTest.java
@@ -0,0 +1,86 @@
+package org.anvillatch.node.call;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import com.codahale.metrics.MetricRegistry;
+import org.anvillatch.decision.effect.EffectLedger;
+import org.anvillatch.decision.model.HostIdentity;
+import org.anvillatch.node.loop.DecisionLoop;
+import org.anvillatch.node.platform.PlatformLog;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class ClaimServiceTest {
+    private static final HostIdentity SELF = new HostIdentity("desk-1", 7);
+    private static final String KEY = "017f22e2-79b0-7cc3-98c4-dc0c0c07398f";
+    private static final long PATIENCE_MICROS = 300_000;
+    private static final long WAIT_SECONDS = 20;
+
+    private final DecisionLoop loop = new DecisionLoop();
+    private final FakeLog log = new FakeLog();
+    private final ClaimService claims =
+            new ClaimService(loop, SELF, new EffectLedger(SELF, EffectLedger.CAPACITY), log, new MetricRegistry());
+
+    /** Keeps records in memory; the next appends can be lost without a word. */
+    private static final class FakeLog implements PlatformLog {
+        private final List<Entry> entries = new ArrayList<>();
+        private int toLose;
+
+        @Override
+        public synchronized void append(String stream, byte[] value, Consumer<AppendResult> listener) {
+            if (toLose > 0) {
+                toLose--;
+                listener.accept(AppendResult.UNKNOWN);
+                return;
+            }
+            entries.add(new Entry(entries.size(), value));
+            listener.accept(AppendResult.APPENDED);
+        }
+
+        @Override
+        public synchronized void read(String stream, long fromOffset, Consumer<ReadResult> listener) {
+            List<Entry> wanted = entries.stream()
+                    .filter(entry -> entry.offset() >= fromOffset)
+                    .toList();
+            listener.accept(new ReadResult(true, 0, entries.size(), wanted));
+        }
+    }
+
+    @BeforeEach
+    void startLoop() {
+        loop.start();
+    }
+
+    @AfterEach
+    void stopLoop() {
+        loop.stop();
+    }
+
+    private ClaimService.Resolution resolve() throws Exception {
+        CompletableFuture<ClaimService.Resolution> result = new CompletableFuture<>();
+        loop.execute(() -> claims.resolve(
+                KEY, loop.nowMicros() + PATIENCE_MICROS, (resolution, owner) -> result.complete(resolution)));
+        return result.get(WAIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void claimsAKeyAndReadsItBack() throws Exception {
+        assertThat(resolve()).isEqualTo(ClaimService.Resolution.OWNED);
+        assertThat(resolve()).isEqualTo(ClaimService.Resolution.OWNED);
+        assertThat(log.entries).hasSize(1);
+    }
+
+    @Test
+    void keyWhoseAppendWasLostCanBeClaimedAgain() throws Exception {
+        log.toLose = 1;
+        assertThat(resolve()).isEqualTo(ClaimService.Resolution.NOT_CLAIMED);
+        assertThat(resolve()).isEqualTo(ClaimService.Resolution.OWNED);
+    }
+}
