Join logic that stood twice

Found by reading the whole change; behaviour is as it was. The list of other present hosts stood in four services and is now Membership.othersPresent; four places built the same decision record, now CallDecisions; two HTTP clients were set up alike, now HttpClients; a set was kept as a map to true; LearnedLevel.replacedBy ignored what it replaced and is gone; an owner parsed one key three times. mvn verify: 119 tests passed, none failed.

--- a/decision/src/main/java/org/anvillatch/decision/admission/LearnedLevel.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/LearnedLevel.java
@@ -32,17 +32,6 @@
         return halvings >= Integer.SIZE ? 0 : level >> halvings;
     }
 
-    /**
-     * Combines with a newly heard level; the newest word of the same source wins.
-     *
-     * @param heard the level just heard
-     * @param nowMicros current time
-     * @return the level to remember
-     */
-    public LearnedLevel replacedBy(int heard, long nowMicros) {
-        return new LearnedLevel(heard, nowMicros);
-    }
-
     /**
      * Combines with a level of another source, for the average over sources.
      *
--- a/decision/src/main/java/org/anvillatch/decision/membership/Membership.java
+++ b/decision/src/main/java/org/anvillatch/decision/membership/Membership.java
@@ -278,6 +278,21 @@
         return List.copyOf(members.values());
     }
 
+    /**
+     * Returns the other hosts that are believed present.
+     *
+     * @return a new list, which the caller may change
+     */
+    public List<Member> othersPresent() {
+        List<Member> others = new ArrayList<>();
+        for (Member member : members.values()) {
+            if (member.status().isPresent() && !member.host().name().equals(self)) {
+                others.add(member);
+            }
+        }
+        return others;
+    }
+
     /**
      * Returns how many hosts are known.
      *
--- a/decision/src/main/java/org/anvillatch/decision/routing/EndpointLoad.java
+++ b/decision/src/main/java/org/anvillatch/decision/routing/EndpointLoad.java
@@ -36,10 +36,7 @@
         failures = 0;
         reportedBusy = report.busy();
         reportedMicros = nowMicros;
-        levels.merge(
-                report.operation(),
-                new LearnedLevel(report.level(), nowMicros),
-                (old, heard) -> old.replacedBy(heard.level(), nowMicros));
+        levels.put(report.operation(), new LearnedLevel(report.level(), nowMicros));
         if (report.durationMicros() > 0) {
             latencyMicros += (report.durationMicros() - latencyMicros) * LATENCY_WEIGHT;
         }
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/HttpClients.java
@@ -0,0 +1,35 @@
+package org.anvillatch.node;
+
+import java.util.concurrent.Executor;
+
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.transport.HttpClientTransportDynamic;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * Creates HTTP clients that share the node's threads. Stateless and thread safe.
+ */
+public final class HttpClients {
+    private HttpClients() {}
+
+    /**
+     * Creates a client that is not started.
+     *
+     * @param executor runs callbacks
+     * @param scheduler runs timeouts
+     * @param connectTimeoutMillis longest wait for a connection
+     * @return the client, with one selector
+     */
+    public static HttpClient create(Executor executor, Scheduler scheduler, long connectTimeoutMillis) {
+        ClientConnector connector = new ClientConnector();
+        connector.setSelectors(1);
+        connector.setExecutor(executor);
+        connector.setScheduler(scheduler);
+        HttpClient client = new HttpClient(new HttpClientTransportDynamic(connector));
+        client.setExecutor(executor);
+        client.setScheduler(scheduler);
+        client.setConnectTimeout(connectTimeoutMillis);
+        return client;
+    }
+}
--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -17,6 +17,7 @@
 import org.anvillatch.decision.model.HostIdentity;
 import org.anvillatch.decision.quarantine.CrashSuspects;
 import org.anvillatch.decision.routing.EndpointSelector;
+import org.anvillatch.node.call.CallDecisions;
 import org.anvillatch.node.call.CallRouter;
 import org.anvillatch.node.call.ClaimService;
 import org.anvillatch.node.call.EffectService;
@@ -87,26 +88,27 @@
         ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("scheduler", true);
         state = createState(settings);
         DecisionLog log = new DecisionLog(settings.logFormat(), metrics);
+        CallDecisions decisions = new CallDecisions(log, settings.name());
         PeerClient peers =
                 new PeerClient(loop, threads, scheduler, settings.peerAddress().host(), metrics);
         EndpointClient endpointClient = new EndpointClient(threads, scheduler);
         HttpPlatformLog platform = new HttpPlatformLog(settings.logAddress(), threads, scheduler);
-        gatekeeping = new Gatekeeping(loop, state, endpointClient, log, metrics);
-        router = new CallRouter(loop, state, peers, gatekeeping, log, metrics);
+        gatekeeping = new Gatekeeping(loop, state, endpointClient, decisions, metrics);
+        router = new CallRouter(loop, state, peers, gatekeeping, decisions, metrics);
         EffectService effects = new EffectService(
                 loop,
                 state,
                 peers,
                 router,
                 new ClaimService(loop, state.membership().self().host(), state.ledger(), platform, metrics),
-                log);
+                decisions);
         configurationService =
                 new ConfigurationService(loop, state, peers, platform, settings.snapshotSeconds() * MICROS_PER_SECOND);
         membershipService = new MembershipService(loop, state, peers, configurationService);
         HostSurvey survey = new HostSurvey(state, peers);
         QuestionCommand questions = new QuestionCommand(state, survey, log, this::status);
         ChangeCommand changes = new ChangeCommand(loop, state, configurationService, survey);
-        callHandler = new CallHandler(loop, state, router, effects, gatekeeping, log, metrics);
+        callHandler = new CallHandler(loop, state, router, effects, gatekeeping, decisions, metrics);
         endpointHandler = new EndpointHandler(loop, state, gatekeeping);
         CommandHandler.Keys keys = new CommandHandler.Keys(settings.readKey(), settings.changeKey());
         CommandHandler commands = new CommandHandler(loop, state, changes, questions, keys, metrics);
--- a/node/src/main/java/org/anvillatch/node/call/CallRouter.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallRouter.java
@@ -9,7 +9,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import org.anvillatch.decision.membership.Member;
-import org.anvillatch.decision.model.Rank;
 import org.anvillatch.decision.model.RefusalReason;
 import org.anvillatch.decision.retry.RetryBudget;
 import org.anvillatch.decision.retry.RetryRatio;
@@ -17,7 +16,6 @@
 import org.anvillatch.decision.routing.EndpointSelector;
 import org.anvillatch.decision.routing.RouteChoice;
 import org.anvillatch.node.decisionlog.Decision;
-import org.anvillatch.node.decisionlog.DecisionLog;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
 import org.anvillatch.node.peer.PeerClient;
@@ -38,7 +36,7 @@
     private final HostState state;
     private final PeerClient peers;
     private final Gatekeeping gatekeeping;
-    private final DecisionLog log;
+    private final CallDecisions decisions;
     private final MetricRegistry metrics;
     private final Map<String, RetryRatio> ratios = new HashMap<>();
     private int inFlight;
@@ -50,7 +48,7 @@
      * @param state decision state of the host
      * @param peers sends to other hosts
      * @param gatekeeping runs calls for this host's own endpoint
-     * @param log receives every decision
+     * @param decisions receives every decision
      * @param metrics registry for counts
      */
     public CallRouter(
@@ -58,13 +56,13 @@
             HostState state,
             PeerClient peers,
             Gatekeeping gatekeeping,
-            DecisionLog log,
+            CallDecisions decisions,
             MetricRegistry metrics) {
         this.loop = loop;
         this.state = state;
         this.peers = peers;
         this.gatekeeping = gatekeeping;
-        this.log = log;
+        this.decisions = decisions;
         this.metrics = metrics;
     }
 
@@ -250,19 +248,11 @@
         }
 
         private void record(String candidate, String result, String reason, int level) {
-            log.record(new Decision(
-                    System.currentTimeMillis(),
-                    state.membership().self().host().name(),
+            decisions.record(
                     Decision.Kind.ROUTE,
-                    call.context().root(),
-                    call.context().attempt(),
-                    call.operation().toString(),
-                    Rank.importance(call.context().rank()),
-                    candidate,
-                    result,
-                    reason,
-                    level,
-                    budget.remaining()));
+                    call.context(),
+                    call.operation(),
+                    new CallDecisions.Choice(candidate, result, reason, level, budget.remaining()));
         }
     }
 }
--- a/node/src/main/java/org/anvillatch/node/call/EffectService.java
+++ b/node/src/main/java/org/anvillatch/node/call/EffectService.java
@@ -10,10 +10,8 @@
 import org.anvillatch.decision.membership.Member;
 import org.anvillatch.decision.model.HostIdentity;
 import org.anvillatch.decision.model.Outcome;
-import org.anvillatch.decision.model.Rank;
 import org.anvillatch.decision.model.RefusalReason;
 import org.anvillatch.node.decisionlog.Decision;
-import org.anvillatch.node.decisionlog.DecisionLog;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
 import org.anvillatch.node.peer.PeerClient;
@@ -34,7 +32,7 @@
     private final PeerClient peers;
     private final CallRouter router;
     private final ClaimService claims;
-    private final DecisionLog log;
+    private final CallDecisions decisions;
 
     /**
      * Creates the service.
@@ -44,7 +42,7 @@
      * @param peers sends to other hosts
      * @param router routes calls whose key is claimed
      * @param claims finds the owners of keys that callers chose
-     * @param log receives every decision
+     * @param decisions receives every decision
      */
     public EffectService(
             DecisionLoop loop,
@@ -52,13 +50,13 @@
             PeerClient peers,
             CallRouter router,
             ClaimService claims,
-            DecisionLog log) {
+            CallDecisions decisions) {
         this.loop = loop;
         this.state = state;
         this.peers = peers;
         this.router = router;
         this.claims = claims;
-        this.log = log;
+        this.decisions = decisions;
     }
 
     /**
@@ -108,16 +106,14 @@
      * @param reply receives the answer, on the loop
      */
     public void runAsOwner(Call call, Consumer<CallAnswer> reply) {
-        boolean issuedElsewhere = BoundKey.parse(call.key())
-                .map(key -> !key.owner().equals(self()))
-                .orElse(false);
-        if (issuedElsewhere) {
-            reply.accept(ownerGone(BoundKey.parse(call.key()).get().owner()));
-        } else if (BoundKey.parse(call.key()).isPresent()) {
-            runHere(call, reply);
-        } else {
+        Optional<BoundKey> bound = BoundKey.parse(call.key());
+        if (bound.isEmpty()) {
             // The claim may have been read there first: this host reads it as well before it decides.
             run(call, reply);
+        } else if (bound.get().owner().equals(self())) {
+            runHere(call, reply);
+        } else {
+            reply.accept(ownerGone(bound.get().owner()));
         }
     }
 
@@ -200,18 +196,11 @@
     }
 
     private void record(Call call, Claim.Verdict verdict) {
-        log.record(new Decision(
-                System.currentTimeMillis(),
-                self().name(),
+        String result = verdict.name().toLowerCase(Locale.ROOT);
+        decisions.record(
                 Decision.Kind.CLAIM,
-                call.context().root(),
-                call.context().attempt(),
-                call.operation().toString(),
-                Rank.importance(call.context().rank()),
-                self().name(),
-                verdict.name().toLowerCase(Locale.ROOT),
-                "",
-                0,
-                call.retries()));
+                call.context(),
+                call.operation(),
+                new CallDecisions.Choice(self().name(), result, "", 0, call.retries()));
     }
 }
--- a/node/src/main/java/org/anvillatch/node/call/Gatekeeping.java
+++ b/node/src/main/java/org/anvillatch/node/call/Gatekeeping.java
@@ -17,12 +17,10 @@
 import org.anvillatch.decision.admission.Work;
 import org.anvillatch.decision.drain.EndpointPhase;
 import org.anvillatch.decision.model.Outcome;
-import org.anvillatch.decision.model.Rank;
 import org.anvillatch.decision.model.RefusalReason;
 import org.anvillatch.decision.quarantine.CrashSuspects;
 import org.anvillatch.decision.retry.RetryBudget;
 import org.anvillatch.node.decisionlog.Decision;
-import org.anvillatch.node.decisionlog.DecisionLog;
 import org.anvillatch.node.endpoint.EndpointAnnouncement;
 import org.anvillatch.node.endpoint.EndpointClient;
 import org.anvillatch.node.loop.DecisionLoop;
@@ -41,7 +39,7 @@
     private final DecisionLoop loop;
     private final HostState state;
     private final EndpointClient client;
-    private final DecisionLog log;
+    private final CallDecisions decisions;
     private final MetricRegistry metrics;
     private final Map<Long, Execution> executions = new HashMap<>();
     private final Set<String> recentSuccesses = new LinkedHashSet<>();
@@ -56,15 +54,19 @@
      * @param loop runs callbacks
      * @param state decision state of the host
      * @param client sends to the endpoint
-     * @param log receives every decision
+     * @param decisions receives every decision
      * @param metrics registry for counts
      */
     public Gatekeeping(
-            DecisionLoop loop, HostState state, EndpointClient client, DecisionLog log, MetricRegistry metrics) {
+            DecisionLoop loop,
+            HostState state,
+            EndpointClient client,
+            CallDecisions decisions,
+            MetricRegistry metrics) {
         this.loop = loop;
         this.state = state;
         this.client = client;
-        this.log = log;
+        this.decisions = decisions;
         this.metrics = metrics;
     }
 
@@ -423,18 +425,10 @@
     private void record(Execution execution, String result, String reason, int level) {
         DispatchMessage message = execution.message;
         String host = state.membership().self().host().name();
-        log.record(new Decision(
-                System.currentTimeMillis(),
-                host,
+        decisions.record(
                 Decision.Kind.ADMIT,
-                message.context().root(),
-                message.context().attempt(),
-                message.operation().toString(),
-                Rank.importance(message.context().rank()),
-                host,
-                result,
-                reason,
-                level,
-                execution.budget.remaining()));
+                message.context(),
+                message.operation(),
+                new CallDecisions.Choice(host, result, reason, level, execution.budget.remaining()));
     }
 }
--- a/node/src/main/java/org/anvillatch/node/caller/CallHandler.java
+++ b/node/src/main/java/org/anvillatch/node/caller/CallHandler.java
@@ -20,11 +20,11 @@
 import org.anvillatch.node.call.CallAnswer;
 import org.anvillatch.node.call.CallBody;
 import org.anvillatch.node.call.CallContext;
+import org.anvillatch.node.call.CallDecisions;
 import org.anvillatch.node.call.CallRouter;
 import org.anvillatch.node.call.EffectService;
 import org.anvillatch.node.call.Gatekeeping;
 import org.anvillatch.node.decisionlog.Decision;
-import org.anvillatch.node.decisionlog.DecisionLog;
 import org.anvillatch.node.endpoint.CallHeaders;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
@@ -59,7 +59,7 @@
     private final CallRouter router;
     private final EffectService effects;
     private final Gatekeeping gatekeeping;
-    private final DecisionLog log;
+    private final CallDecisions decisions;
     private final Timer timer;
     private final AtomicLong nextRequest = new AtomicLong();
     private volatile boolean leaving;
@@ -74,7 +74,7 @@
      * @param router routes calls
      * @param effects runs calls with an idempotency key
      * @param gatekeeping knows the parents of nested calls
-     * @param log receives every answer
+     * @param decisions receives every answer
      * @param metrics registry for the duration of calls
      */
     public CallHandler(
@@ -83,14 +83,14 @@
             CallRouter router,
             EffectService effects,
             Gatekeeping gatekeeping,
-            DecisionLog log,
+            CallDecisions decisions,
             MetricRegistry metrics) {
         this.loop = loop;
         this.state = state;
         this.router = router;
         this.effects = effects;
         this.gatekeeping = gatekeeping;
-        this.log = log;
+        this.decisions = decisions;
         this.timer = metrics.timer("calls.duration");
     }
 
@@ -307,19 +307,17 @@
     }
 
     private void record(Call call, CallAnswer answer) {
-        log.record(new Decision(
-                System.currentTimeMillis(),
-                state.membership().self().host().name(),
+        String reason = answer.reason() == null ? "" : answer.reason().wireName();
+        decisions.record(
                 Decision.Kind.ANSWER,
-                call.context().root(),
-                call.context().attempt(),
-                call.operation().toString(),
-                Rank.importance(call.context().rank()),
-                answer.host(),
-                answer.outcome().wireName(),
-                answer.reason() == null ? "" : answer.reason().wireName(),
-                answer.report().level(),
-                answer.unspentRetries()));
+                call.context(),
+                call.operation(),
+                new CallDecisions.Choice(
+                        answer.host(),
+                        answer.outcome().wireName(),
+                        reason,
+                        answer.report().level(),
+                        answer.unspentRetries()));
     }
 
     private String requestId(Request request) throws HeaderException {
--- a/node/src/main/java/org/anvillatch/node/configuration/ConfigurationService.java
+++ b/node/src/main/java/org/anvillatch/node/configuration/ConfigurationService.java
@@ -3,9 +3,9 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
@@ -59,7 +59,7 @@
     private final long snapshotPeriodMicros;
     private final TreeMap<Long, ConfigurationRecord> recent = new TreeMap<>();
     private final List<Runnable> changeListeners = new ArrayList<>();
-    private final Map<String, Boolean> fetching = new HashMap<>();
+    private final Set<String> fetching = new HashSet<>();
     private boolean reading;
     private long nextReadMicros;
     private long lastSnapshotMicros;
@@ -205,7 +205,7 @@
     }
 
     private void push(long coveredBefore) {
-        List<Member> others = others();
+        List<Member> others = state.membership().othersPresent();
         PeerMessage message = answer(coveredBefore);
         for (int index = 0; index < PUSH_FANOUT && !others.isEmpty(); index++) {
             Member other = others.remove(state.random().nextInt(others.size()));
@@ -213,17 +213,6 @@
         }
     }
 
-    private List<Member> others() {
-        List<Member> others = new ArrayList<>();
-        for (Member member : state.membership().all()) {
-            boolean isSelf = member.host().equals(state.membership().self().host());
-            if (!isSelf && member.status().isPresent()) {
-                others.add(member);
-            }
-        }
-        return others;
-    }
-
     private static final PeerClient.AnswerListener IGNORE = new PeerClient.AnswerListener() {
         @Override
         public void answered(PeerMessage message) {
@@ -284,7 +273,7 @@
      */
     public void heard(String address, long coveredOffset) {
         boolean behind = coveredOffset > covered() || !state.configuration().isKnown();
-        if (!behind || fetching.putIfAbsent(address, true) != null) {
+        if (!behind || !fetching.add(address)) {
             return;
         }
         PeerMessage request = new GossipMessages.ConfigurationRequest(covered());
--- a/node/src/main/java/org/anvillatch/node/endpoint/EndpointClient.java
+++ b/node/src/main/java/org/anvillatch/node/endpoint/EndpointClient.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
+import org.anvillatch.node.HttpClients;
 import org.anvillatch.node.Service;
 import org.anvillatch.node.StartException;
 import org.anvillatch.node.call.CallBody;
@@ -17,10 +18,8 @@
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
-import org.eclipse.jetty.client.transport.HttpClientTransportDynamic;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpMethod;
-import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.Scheduler;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -96,16 +95,9 @@
      * @param scheduler runs timeouts
      */
     public EndpointClient(Executor executor, Scheduler scheduler) {
-        ClientConnector connector = new ClientConnector();
-        connector.setSelectors(1);
-        connector.setExecutor(executor);
-        connector.setScheduler(scheduler);
-        client = new HttpClient(new HttpClientTransportDynamic(connector));
-        client.setExecutor(executor);
-        client.setScheduler(scheduler);
+        client = HttpClients.create(executor, scheduler, CONNECT_TIMEOUT_MILLIS);
         client.setFollowRedirects(false);
         client.setIdleTimeout(IDLE_MILLIS);
-        client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
         client.setUserAgentField(null);
     }
 
--- a/node/src/main/java/org/anvillatch/node/membership/MembershipService.java
+++ b/node/src/main/java/org/anvillatch/node/membership/MembershipService.java
@@ -208,10 +208,8 @@
      */
     public void spread(List<CrashSuspects.Suspicion> suspicions) {
         String service = state.membership().self().service();
-        for (Member member : state.membership().all()) {
-            boolean concerned =
-                    member.service().equals(service) && member.status().isPresent();
-            if (concerned && !member.host().equals(state.membership().self().host())) {
+        for (Member member : state.membership().othersPresent()) {
+            if (member.service().equals(service)) {
                 peers.send(
                         member.address(),
                         new GossipMessages.Suspicions(suspicions),
@@ -224,14 +222,9 @@
     /** Says farewell to a few hosts, which spread the word. */
     public void leave() {
         state.membership().leave();
-        int farewells = 0;
-        for (Member member : state.membership().all()) {
-            if (farewells < FAREWELLS
-                    && member.status().isPresent()
-                    && !member.host().equals(state.membership().self().host())) {
-                farewells++;
-                peers.send(member.address(), pingMessage(), MESSAGE_TIMEOUT_MICROS, new Listener(member.address()));
-            }
+        List<Member> others = state.membership().othersPresent();
+        for (Member member : others.subList(0, Math.min(FAREWELLS, others.size()))) {
+            peers.send(member.address(), pingMessage(), MESSAGE_TIMEOUT_MICROS, new Listener(member.address()));
         }
     }
 
--- a/node/src/main/java/org/anvillatch/node/operator/HostSurvey.java
+++ b/node/src/main/java/org/anvillatch/node/operator/HostSurvey.java
@@ -44,7 +44,7 @@
      * @param listener receives the answers in order of arrival, on the loop
      */
     public void ask(PeerMessage question, Consumer<List<PeerMessage>> listener) {
-        List<Member> present = others();
+        List<Member> present = state.membership().othersPresent();
         ask(question, present.subList(0, Math.min(MOST_HOSTS, present.size())), listener);
     }
 
@@ -69,7 +69,7 @@
      * @return other hosts that are present, at most {@link #SAMPLE} of a failure domain
      */
     public List<Member> sample() {
-        List<Member> present = others();
+        List<Member> present = state.membership().othersPresent();
         Map<String, Integer> drawn = new HashMap<>();
         List<Member> sample = new ArrayList<>();
         int offset = present.isEmpty() ? 0 : state.random().nextInt(present.size());
@@ -82,17 +82,6 @@
         return sample;
     }
 
-    private List<Member> others() {
-        List<Member> present = new ArrayList<>();
-        for (Member member : state.membership().all()) {
-            boolean isSelf = member.host().equals(state.membership().self().host());
-            if (!isSelf && member.status().isPresent()) {
-                present.add(member);
-            }
-        }
-        return present;
-    }
-
     private static final class Collector implements PeerClient.AnswerListener {
         private final List<PeerMessage> answers = new ArrayList<>();
         private final int asked;
--- a/node/src/main/java/org/anvillatch/node/platform/HttpPlatformLog.java
+++ b/node/src/main/java/org/anvillatch/node/platform/HttpPlatformLog.java
@@ -8,15 +8,14 @@
 import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import org.anvillatch.node.HttpClients;
 import org.anvillatch.node.Service;
 import org.anvillatch.node.StartException;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Result;
-import org.eclipse.jetty.client.transport.HttpClientTransportDynamic;
 import org.eclipse.jetty.http.HttpMethod;
-import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.Scheduler;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -49,14 +48,7 @@
      */
     public HttpPlatformLog(String address, Executor executor, Scheduler scheduler) {
         this.address = address;
-        ClientConnector connector = new ClientConnector();
-        connector.setSelectors(1);
-        connector.setExecutor(executor);
-        connector.setScheduler(scheduler);
-        client = new HttpClient(new HttpClientTransportDynamic(connector));
-        client.setExecutor(executor);
-        client.setScheduler(scheduler);
-        client.setConnectTimeout(TIMEOUT_MILLIS);
+        client = HttpClients.create(executor, scheduler, TIMEOUT_MILLIS);
     }
 
     @Override
