--- a/decision/src/main/java/org/anvillatch/decision/membership/Member.java
+++ b/decision/src/main/java/org/anvillatch/decision/membership/Member.java
@@ -72,4 +72,14 @@
         long next = Math.max(after, update) + 1;
         return new Member(host, next, address, domain, service, slots, phase, MemberStatus.ALIVE);
     }
+
+    /**
+     * Returns the same host under the identity of a later life.
+     *
+     * @param identity the new identity
+     * @return a copy
+     */
+    public Member withIdentity(HostIdentity identity) {
+        return new Member(identity, update + 1, address, domain, service, slots, phase, status);
+    }
 }
--- a/decision/src/main/java/org/anvillatch/decision/membership/Membership.java
+++ b/decision/src/main/java/org/anvillatch/decision/membership/Membership.java
@@ -9,6 +9,7 @@
 import java.util.random.RandomGenerator;
 
 import org.anvillatch.decision.drain.EndpointPhase;
+import org.anvillatch.decision.model.HostIdentity;
 
 /**
  * View of all hosts, kept by the SWIM protocol: one ping a period, indirect pings, suspicion with refutation, and
@@ -37,6 +38,9 @@
     /** Time after which a dead host is forgotten, in microseconds. */
     public static final long FORGET_MICROS = 600_000_000;
 
+    /** Time for which a dead host is still asked whether it is back, in microseconds; longer than a cut usually lasts. */
+    public static final long RETRY_DEAD_MICROS = 120_000_000;
+
     private static final int UPDATES_PER_MESSAGE = 8;
     private static final int INDIRECT_HELPERS = 2;
     private static final int RETRANSMIT_FACTOR = 3;
@@ -62,7 +66,7 @@
      */
     public Membership(Member self, List<String> seeds) {
         this.self = self.host().name();
-        this.seeds = List.copyOf(seeds);
+        this.seeds = new ArrayList<>(seeds);
         members.put(this.self, self);
         names.add(this.self);
         pendingUpdates.put(this.self, 0);
@@ -82,9 +86,11 @@
         if (nowMicros >= nextPeriodMicros) {
             nextPeriodMicros = nowMicros + PERIOD_MICROS;
             pingNext(nowMicros, random, actions);
+            pingOneDead(nowMicros, random, actions);
         }
         if (nowMicros >= nextSynchronizeMicros) {
-            nextSynchronizeMicros = nowMicros + SYNCHRONIZE_MICROS + members.size() * SYNCHRONIZE_MICROS_PER_HOST;
+            long usual = SYNCHRONIZE_MICROS + members.size() * SYNCHRONIZE_MICROS_PER_HOST;
+            nextSynchronizeMicros = nowMicros + (isAlone() ? PERIOD_MICROS : usual);
             synchronizeWithAny(random, actions);
         }
         return actions;
@@ -158,6 +164,40 @@
         }
     }
 
+    private boolean isAlone() {
+        return othersPresent().isEmpty();
+    }
+
+    /**
+     * Adds addresses to ask for other hosts.
+     *
+     * @param addresses peer addresses, which need not be alive
+     */
+    public void addSeeds(Collection<String> addresses) {
+        for (String address : addresses) {
+            if (!seeds.contains(address)) {
+                seeds.add(address);
+                nextSynchronizeMicros = 0;
+            }
+        }
+    }
+
+    /** A host that was taken for dead may only have been cut off, and then neither side would ask the other. */
+    private void pingOneDead(long nowMicros, RandomGenerator random, List<MembershipAction> actions) {
+        List<Member> dead = new ArrayList<>();
+        for (Map.Entry<String, Long> entry : changedMicros.entrySet()) {
+            Member member = members.get(entry.getKey());
+            if (member.status() == MemberStatus.DEAD && nowMicros - entry.getValue() < RETRY_DEAD_MICROS) {
+                dead.add(member);
+            }
+        }
+        if (!dead.isEmpty()) {
+            Member chosen = dead.get(random.nextInt(dead.size()));
+            actions.add(
+                    new MembershipAction.Ping(chosen.address(), chosen.host().name()));
+        }
+    }
+
     private Member randomPresent(RandomGenerator random) {
         for (int tries = 0; tries < names.size() + INDIRECT_HELPERS; tries++) {
             String name = names.get(random.nextInt(names.size()));
@@ -217,6 +257,14 @@
     }
 
     private void refuteIfWrong(Member heard, Member known) {
+        if (heard.host().incarnation() > known.host().incarnation()) {
+            // The wall clock went back between two lives of this host; others hold the earlier life to be the newer.
+            HostIdentity next = new HostIdentity(self, heard.host().incarnation() + 1);
+            members.put(self, known.withIdentity(next));
+            pendingUpdates.put(self, 0);
+            version++;
+            return;
+        }
         boolean sameLife = heard.host().incarnation() == known.host().incarnation();
         if (sameLife && known.status() == MemberStatus.ALIVE && heard.overrides(known)) {
             members.put(self, known.refuting(heard.update()));
--- a/decision/src/main/java/org/anvillatch/decision/model/RefusalReason.java
+++ b/decision/src/main/java/org/anvillatch/decision/model/RefusalReason.java
@@ -8,6 +8,8 @@
 public enum RefusalReason {
     /** The shed level or the queue bound excluded the request. */
     OVERLOAD(503, true, true),
+    /** The endpoint itself rejected the request; it was sent and not run. */
+    ENDPOINT_REJECTED(503, true, true),
     /** The remaining time is shorter than the expected execution. */
     DEADLINE(504, false, false),
     /** The endpoint or its host is leaving. */
--- a/decision/src/main/java/org/anvillatch/decision/retry/RetryRatio.java
+++ b/decision/src/main/java/org/anvillatch/decision/retry/RetryRatio.java
@@ -13,11 +13,30 @@
     /** Retries that may be saved up. */
     public static final double MOST_TOKENS = 20;
 
-    private double tokens = MOST_TOKENS;
+    private final double share;
+    private final double mostTokens;
+    private double tokens;
+
+    /** Creates a ratio with the usual share and tokens. */
+    public RetryRatio() {
+        this(SHARE, MOST_TOKENS);
+    }
+
+    /**
+     * Creates a ratio.
+     *
+     * @param share tokens earned by each first try, as a fraction
+     * @param mostTokens most tokens that are kept, and those at the start
+     */
+    public RetryRatio(double share, double mostTokens) {
+        this.share = share;
+        this.mostTokens = mostTokens;
+        this.tokens = mostTokens;
+    }
 
     /** Notes a first try. */
     public void firstTry() {
-        tokens = Math.min(MOST_TOKENS, tokens + SHARE);
+        tokens = Math.min(mostTokens, tokens + share);
     }
 
     /**
--- a/node/src/main/java/org/anvillatch/node/HttpClients.java
+++ b/node/src/main/java/org/anvillatch/node/HttpClients.java
@@ -22,7 +22,20 @@
      * @return the client, with one selector
      */
     public static HttpClient create(Executor executor, Scheduler scheduler, long connectTimeoutMillis) {
-        ClientConnector connector = new ClientConnector();
+        return create(new ProbingConnector(), executor, scheduler, connectTimeoutMillis);
+    }
+
+    /**
+     * Creates a client that is not started.
+     *
+     * @param connector opens the connections
+     * @param executor runs callbacks
+     * @param scheduler runs timeouts
+     * @param connectTimeoutMillis longest wait for a connection
+     * @return the client, with one selector
+     */
+    public static HttpClient create(
+            ClientConnector connector, Executor executor, Scheduler scheduler, long connectTimeoutMillis) {
         connector.setSelectors(1);
         connector.setExecutor(executor);
         connector.setScheduler(scheduler);
--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -16,10 +16,13 @@
 import org.anvillatch.decision.membership.Membership;
 import org.anvillatch.decision.model.HostIdentity;
 import org.anvillatch.decision.quarantine.CrashSuspects;
+import org.anvillatch.decision.retry.RetryRatio;
 import org.anvillatch.decision.routing.EndpointSelector;
+import org.anvillatch.decision.routing.RoutesInForce;
 import org.anvillatch.node.call.CallDecisions;
 import org.anvillatch.node.call.CallRouter;
 import org.anvillatch.node.call.ClaimService;
+import org.anvillatch.node.call.CrashEvidence;
 import org.anvillatch.node.call.EffectService;
 import org.anvillatch.node.call.Gatekeeping;
 import org.anvillatch.node.caller.CallHandler;
@@ -39,6 +42,7 @@
 import org.anvillatch.node.peer.PeerClient;
 import org.anvillatch.node.peer.PeerServer;
 import org.anvillatch.node.platform.HttpPlatformLog;
+import org.anvillatch.node.routes.RouteTableService;
 import org.anvillatch.node.settings.NodeSettings;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
@@ -52,8 +56,6 @@
  */
 public final class Node implements Service {
     private static final Logger LOG = LoggerFactory.getLogger(Node.class);
-    private static final int MOST_THREADS = 24;
-    private static final int LEAST_THREADS = 4;
     private static final long MICROS_PER_SECOND = 1_000_000;
     private static final long TICK_MICROS = 5_000;
     private static final long PAUSE_MICROS = 1_000_000;
@@ -82,10 +84,9 @@
      */
     public Node(NodeSettings settings) {
         this.settings = settings;
-        QueuedThreadPool threads = new QueuedThreadPool(MOST_THREADS, LEAST_THREADS);
-        threads.setName("io");
-        threads.setDaemon(true);
-        ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("scheduler", true);
+        NodeThreads nodeThreads = new NodeThreads();
+        QueuedThreadPool threads = nodeThreads.pool();
+        ScheduledExecutorScheduler scheduler = nodeThreads.scheduler();
         state = createState(settings);
         DecisionLog log = new DecisionLog(settings.logFormat(), metrics);
         CallDecisions decisions = new CallDecisions(log, settings.name());
@@ -93,8 +94,8 @@
                 new PeerClient(loop, threads, scheduler, settings.peerAddress().host(), metrics);
         EndpointClient endpointClient = new EndpointClient(threads, scheduler);
         HttpPlatformLog platform = new HttpPlatformLog(settings.logAddress(), threads, scheduler);
-        gatekeeping = new Gatekeeping(loop, state, endpointClient, decisions, metrics);
-        router = new CallRouter(loop, state, peers, gatekeeping, decisions, metrics);
+        gatekeeping = new Gatekeeping(loop, state, endpointClient, decisions, metrics, CrashEvidence.BROKEN_CONNECTION);
+        router = new CallRouter(loop, state, peers, gatekeeping, decisions, metrics, RetryRatio::new);
         EffectService effects = new EffectService(
                 loop,
                 state,
@@ -112,18 +113,17 @@
         endpointHandler = new EndpointHandler(loop, state, gatekeeping);
         CommandHandler.Keys keys = new CommandHandler.Keys(settings.readKey(), settings.changeKey());
         CommandHandler commands = new CommandHandler(loop, state, changes, questions, keys, metrics);
+        PeerRequests shared = new PeerRequests(
+                loop, state, gatekeeping, membershipService, new RouteTableService(loop, state, peers));
         NodePeerHandler peerHandler = new NodePeerHandler(
-                loop,
-                state,
-                new NodePeerHandler.Services(
-                        gatekeeping, effects, membershipService, configurationService, questions, this::status));
+                loop, new NodePeerHandler.Services(shared, effects, configurationService, questions, this::status));
         NodeServer server = new NodeServer(
                 settings,
                 threads,
                 scheduler,
                 new NodeServer.Handlers(callHandler, new KeyHandler(loop, state), endpointHandler, commands),
                 new PeerServer(threads, peerHandler, metrics));
-        services = List.of(loop, log, new ThreadService(threads, scheduler), peers, endpointClient, platform, server);
+        services = List.of(loop, log, nodeThreads, peers, endpointClient, platform, server);
         registerMetrics();
     }
 
@@ -148,6 +148,7 @@
                 new EffectLedger(identity, EffectLedger.CAPACITY),
                 new CrashSuspects(),
                 new ConfigurationReducer(),
+                new RoutesInForce(),
                 new SplittableRandom(seed));
     }
 
@@ -252,26 +253,4 @@
             started.pop().stop();
         }
     }
-
-    private record ThreadService(QueuedThreadPool threads, ScheduledExecutorScheduler scheduler) implements Service {
-        @Override
-        public void start() throws StartException {
-            try {
-                scheduler.start();
-                threads.start();
-            } catch (Exception failure) {
-                throw new StartException("threads: " + failure.getMessage(), failure);
-            }
-        }
-
-        @Override
-        public void stop() {
-            try {
-                threads.stop();
-                scheduler.stop();
-            } catch (Exception failure) {
-                LOG.warn("threads did not stop cleanly", failure);
-            }
-        }
-    }
 }
--- a/node/src/main/java/org/anvillatch/node/NodeMain.java
+++ b/node/src/main/java/org/anvillatch/node/NodeMain.java
@@ -66,13 +66,35 @@
             node.stop();
             System.exit(CANNOT_START);
         }
-        AtomicBoolean stopping = new AtomicBoolean();
-        Signal.handle(new Signal("TERM"), signal -> stopOnce(node, stopping));
-        Signal.handle(new Signal("INT"), signal -> stopOnce(node, stopping));
+        stopOnSignals(node::leave, node::stop);
         awaitExit();
     }
 
-    private static void awaitExit() {
+    /** Waits for work to end before a stop. */
+    @FunctionalInterface
+    public interface Leave {
+        /**
+         * Takes no new work and waits until accepted work has ended.
+         *
+         * @throws InterruptedException if the wait is interrupted
+         */
+        void run() throws InterruptedException;
+    }
+
+    /**
+     * Stops gracefully on the first signal to stop, and at once on the second.
+     *
+     * @param leave waits for work to end
+     * @param stop releases everything
+     */
+    public static void stopOnSignals(Leave leave, Runnable stop) {
+        AtomicBoolean stopping = new AtomicBoolean();
+        Signal.handle(new Signal("TERM"), signal -> stopOnce(leave, stop, stopping));
+        Signal.handle(new Signal("INT"), signal -> stopOnce(leave, stop, stopping));
+    }
+
+    /** Keeps the process alive until a signal ends it. */
+    public static void awaitExit() {
         // All other threads are daemons; the stopper ends the process.
         try {
             new CountDownLatch(1).await();
@@ -81,22 +103,22 @@
         }
     }
 
-    private static void stopOnce(Node node, AtomicBoolean stopping) {
+    private static void stopOnce(Leave leave, Runnable stop, AtomicBoolean stopping) {
         if (!stopping.compareAndSet(false, true)) {
             LOG.warn("second signal: stopping at once");
             Runtime.getRuntime().halt(STOP_CUT_SHORT);
         }
-        Thread stopper = new Thread(() -> stop(node), "stopper");
+        Thread stopper = new Thread(() -> stop(leave, stop), "stopper");
         stopper.start();
     }
 
-    private static void stop(Node node) {
+    private static void stop(Leave leave, Runnable stop) {
         try {
-            node.leave();
+            leave.run();
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
-        node.stop();
+        stop.run();
         System.exit(0);
     }
 }
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/PeerRequests.java
@@ -0,0 +1,128 @@
+package org.anvillatch.node;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.anvillatch.node.call.DispatchMessage;
+import org.anvillatch.node.call.Gatekeeping;
+import org.anvillatch.node.loop.DecisionLoop;
+import org.anvillatch.node.loop.HostState;
+import org.anvillatch.node.membership.MembershipService;
+import org.anvillatch.node.peer.GossipMessages;
+import org.anvillatch.node.peer.PeerConnection;
+import org.anvillatch.node.peer.PeerMessage;
+import org.anvillatch.node.peer.PeerServer;
+import org.anvillatch.node.routes.RouteTableService;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Serves what every host asks of another one, whatever its interface to callers: dispatches, gossip and route tables.
+ *
+ * <p>Invariant: work of a connection that has closed is withdrawn. Thread safe: decides on the loop.
+ */
+public final class PeerRequests implements PeerServer.Handler {
+    private static final Logger LOG = LoggerFactory.getLogger(PeerRequests.class);
+
+    private final DecisionLoop loop;
+    private final HostState state;
+    private final Gatekeeping gatekeeping;
+    private final MembershipService membership;
+    private final RouteTableService routes;
+    private final Map<PeerServer.RequestOrigin, Long> dispatches = new HashMap<>();
+
+    /**
+     * Creates the handler.
+     *
+     * @param loop runs decisions
+     * @param state decision state of the host
+     * @param gatekeeping takes dispatches
+     * @param membership takes gossip
+     * @param routes hands the route table on
+     */
+    public PeerRequests(
+            DecisionLoop loop,
+            HostState state,
+            Gatekeeping gatekeeping,
+            MembershipService membership,
+            RouteTableService routes) {
+        this.loop = loop;
+        this.state = state;
+        this.gatekeeping = gatekeeping;
+        this.membership = membership;
+        this.routes = routes;
+    }
+
+    @Override
+    public void request(PeerServer.RequestOrigin origin, PeerMessage message, PeerServer.Reply reply) {
+        loop.execute(() -> {
+            if (!take(origin, message, reply)) {
+                LOG.warn("request of type {} is not served", message.getClass().getSimpleName());
+            }
+        });
+    }
+
+    /**
+     * Serves one request, on the loop.
+     *
+     * @param origin connection and correlation
+     * @param message the request
+     * @param reply sends the answer
+     * @return false if requests of this type are not served here
+     */
+    boolean take(PeerServer.RequestOrigin origin, PeerMessage message, PeerServer.Reply reply) {
+        if (message instanceof DispatchMessage dispatch) {
+            dispatch(origin, dispatch, reply);
+        } else if (message instanceof GossipMessages.Cancel cancel) {
+            cancel(new PeerServer.RequestOrigin(origin.connection(), cancel.correlation()));
+        } else if (message instanceof GossipMessages.Ping ping) {
+            membership.answer(ping, reply);
+        } else if (message instanceof GossipMessages.IndirectPing ping) {
+            membership.answer(ping, reply);
+        } else if (message instanceof GossipMessages.Synchronize synchronize) {
+            membership.answer(synchronize, reply);
+        } else if (message instanceof GossipMessages.Members members) {
+            membership.answer(members, reply);
+        } else if (message instanceof GossipMessages.Suspicions suspicions) {
+            suspicions.suspicions().forEach(state.suspects()::add);
+            reply.send(new GossipMessages.Acknowledge(true));
+        } else if (message instanceof GossipMessages.RouteTableRequest) {
+            reply.send(routes.answer());
+        } else if (message instanceof GossipMessages.ConnectionCheck) {
+            reply.send(new GossipMessages.Acknowledge(true));
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private void dispatch(PeerServer.RequestOrigin origin, DispatchMessage message, PeerServer.Reply reply) {
+        long number = gatekeeping.dispatch(message, answer -> {
+            dispatches.remove(origin);
+            reply.send(answer);
+        });
+        if (gatekeeping.isOpen(number)) {
+            dispatches.put(origin, number);
+        }
+    }
+
+    private void cancel(PeerServer.RequestOrigin origin) {
+        Long number = dispatches.get(origin);
+        if (number != null) {
+            gatekeeping.cancel(number);
+        }
+    }
+
+    @Override
+    public void connectionClosed(PeerConnection connection) {
+        loop.execute(() -> {
+            // The sender is gone or cut off: nobody waits for its work.
+            for (PeerServer.RequestOrigin origin : List.copyOf(dispatches.keySet())) {
+                if (origin.connection() == connection) {
+                    cancel(origin);
+                }
+            }
+        });
+    }
+}
--- a/node/src/main/java/org/anvillatch/node/call/Call.java
+++ b/node/src/main/java/org/anvillatch/node/call/Call.java
@@ -14,6 +14,8 @@
  * @param fingerprint hash of the operation and the body
  * @param deadlineMicros time after which nobody waits, on this host's clock
  * @param retries retries that the call and everything below it may cause
+ * @param reroutes times that the call may go to another host after a gatekeeper refused it, without using a retry
+ * @param head head of a request that is passed on unread, or null
  */
 public record Call(
         CallContext context,
@@ -23,4 +25,6 @@
         String key,
         String fingerprint,
         long deadlineMicros,
-        int retries) {}
+        int retries,
+        int reroutes,
+        ExchangeHead head) {}
--- a/node/src/main/java/org/anvillatch/node/call/CallAnswer.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallAnswer.java
@@ -20,6 +20,7 @@
  * @param host name of the host that ran or refused the call, empty if none was chosen
  * @param detail explanation for people
  * @param suspicions requests known to have run when an endpoint crashed
+ * @param headers fields of the endpoint's answer that are passed on unread, may be empty
  */
 public record CallAnswer(
         Outcome outcome,
@@ -31,7 +32,8 @@
         Outcome firstOutcome,
         String host,
         String detail,
-        List<CrashSuspects.Suspicion> suspicions)
+        List<CrashSuspects.Suspicion> suspicions,
+        List<HeaderField> headers)
         implements PeerMessage {
     /**
      * Load of the endpoint's host. Immutable and thread safe.
@@ -58,7 +60,17 @@
     public static CallAnswer refused(
             RefusalReason reason, String detail, LoadReport report, int unspentRetries, String host) {
         return new CallAnswer(
-                Outcome.NOT_RUN, reason, 0, CallBody.EMPTY, unspentRetries, report, null, host, detail, List.of());
+                Outcome.NOT_RUN,
+                reason,
+                0,
+                CallBody.EMPTY,
+                unspentRetries,
+                report,
+                null,
+                host,
+                detail,
+                List.of(),
+                List.of());
     }
 
     /**
@@ -71,7 +83,17 @@
      */
     public static CallAnswer unknown(String detail, String host, List<CrashSuspects.Suspicion> suspicions) {
         return new CallAnswer(
-                Outcome.UNKNOWN, null, 0, CallBody.EMPTY, 0, LoadReport.NONE, null, host, detail, suspicions);
+                Outcome.UNKNOWN,
+                null,
+                0,
+                CallBody.EMPTY,
+                0,
+                LoadReport.NONE,
+                null,
+                host,
+                detail,
+                suspicions,
+                List.of());
     }
 
     /**
@@ -84,7 +106,17 @@
      */
     public static CallAnswer duplicate(Outcome first, String detail, String host) {
         return new CallAnswer(
-                Outcome.DUPLICATE, null, 0, CallBody.EMPTY, 0, LoadReport.NONE, first, host, detail, List.of());
+                Outcome.DUPLICATE,
+                null,
+                0,
+                CallBody.EMPTY,
+                0,
+                LoadReport.NONE,
+                first,
+                host,
+                detail,
+                List.of(),
+                List.of());
     }
 
     /**
@@ -94,7 +126,8 @@
      * @return a copy
      */
     public CallAnswer withUnspentRetries(int retries) {
-        return new CallAnswer(outcome, reason, status, body, retries, report, firstOutcome, host, detail, suspicions);
+        return new CallAnswer(
+                outcome, reason, status, body, retries, report, firstOutcome, host, detail, suspicions, headers);
     }
 
     /**
@@ -105,6 +138,16 @@
      */
     public CallAnswer withReport(LoadReport newReport) {
         return new CallAnswer(
-                outcome, reason, status, body, unspentRetries, newReport, firstOutcome, host, detail, suspicions);
+                outcome,
+                reason,
+                status,
+                body,
+                unspentRetries,
+                newReport,
+                firstOutcome,
+                host,
+                detail,
+                suspicions,
+                headers);
     }
 }
--- a/node/src/main/java/org/anvillatch/node/call/CallRouter.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallRouter.java
@@ -6,9 +6,11 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
 import org.anvillatch.decision.membership.Member;
+import org.anvillatch.decision.model.Outcome;
 import org.anvillatch.decision.model.RefusalReason;
 import org.anvillatch.decision.retry.RetryBudget;
 import org.anvillatch.decision.retry.RetryRatio;
@@ -38,6 +40,7 @@
     private final Gatekeeping gatekeeping;
     private final CallDecisions decisions;
     private final MetricRegistry metrics;
+    private final Supplier<RetryRatio> newRatio;
     private final Map<String, RetryRatio> ratios = new HashMap<>();
     private int inFlight;
 
@@ -50,6 +53,7 @@
      * @param gatekeeping runs calls for this host's own endpoint
      * @param decisions receives every decision
      * @param metrics registry for counts
+     * @param newRatio creates the ratio of a service that is called for the first time
      */
     public CallRouter(
             DecisionLoop loop,
@@ -57,7 +61,9 @@
             PeerClient peers,
             Gatekeeping gatekeeping,
             CallDecisions decisions,
-            MetricRegistry metrics) {
+            MetricRegistry metrics,
+            Supplier<RetryRatio> newRatio) {
+        this.newRatio = newRatio;
         this.loop = loop;
         this.state = state;
         this.peers = peers;
@@ -82,7 +88,7 @@
     }
 
     private RetryRatio ratio(Call call) {
-        return ratios.computeIfAbsent(call.operation().service(), service -> new RetryRatio());
+        return ratios.computeIfAbsent(call.operation().service(), service -> newRatio.get());
     }
 
     /**
@@ -101,6 +107,8 @@
         private final RetryBudget budget;
         private final Set<String> tried = new HashSet<>();
         private Runnable withdraw = () -> {};
+        private int reroutesLeft;
+        private RefusalReason lastRefusal;
         private boolean cancelled;
         private boolean ended;
 
@@ -108,6 +116,16 @@
             this.call = call;
             this.reply = reply;
             this.budget = new RetryBudget(call.retries());
+            this.reroutesLeft = call.reroutes();
+        }
+
+        /**
+         * Tells whether the call was answered.
+         *
+         * @return true after its answer
+         */
+        public boolean isEnded() {
+            return ended;
         }
 
         /** Withdraws the call; it is still answered. */
@@ -127,7 +145,7 @@
                     call.operation(), call.context().rank(), tried, state.drained());
             RouteChoice choice = state.selector().choose(request, now, state.random());
             if (!choice.isChosen()) {
-                refuse(choice.refusal(), choice.level());
+                refuse(lastRefusal == null ? choice.refusal() : lastRefusal, choice.level());
                 return;
             }
             record(choice.host().host().name(), "chosen", "", choice.level());
@@ -160,7 +178,8 @@
                     call.body(),
                     call.fingerprint(),
                     remaining,
-                    budget.takeShare());
+                    budget.takeShare(),
+                    call.head());
             state.selector().sent(host);
             if (host.host().equals(state.membership().self().host())) {
                 dispatchHere(host, message);
@@ -218,9 +237,8 @@
         }
 
         private void retryOrEnd(Member host, CallAnswer answer) {
-            if (mayRetry(answer) && budget.remaining() > 0 && ratio(call).spend()) {
-                budget.spend();
-                metrics.counter("calls.retries").inc();
+            if (mayRetry(answer) && (isFreeReroute(answer) || spendRetry())) {
+                lastRefusal = answer.reason();
                 tried.add(host.host().name());
                 dispatchToNext();
                 return;
@@ -228,6 +246,27 @@
             end(answer.withUnspentRetries(budget.remaining()));
         }
 
+        /** A call that reached no endpoint costs no endpoint anything, so it draws on no budget of retries. */
+        private boolean isFreeReroute(CallAnswer answer) {
+            if (reroutesLeft == 0
+                    || answer.outcome() != Outcome.NOT_RUN
+                    || answer.reason() == RefusalReason.ENDPOINT_REJECTED) {
+                return false;
+            }
+            reroutesLeft--;
+            metrics.counter("calls.reroutes").inc();
+            return true;
+        }
+
+        private boolean spendRetry() {
+            if (budget.remaining() == 0 || !ratio(call).spend()) {
+                return false;
+            }
+            budget.spend();
+            metrics.counter("calls.retries").inc();
+            return true;
+        }
+
         private boolean mayRetry(CallAnswer answer) {
             boolean elsewhere = answer.reason() == null || answer.reason().permitsAnotherEndpoint();
             return !cancelled
--- a/node/src/main/java/org/anvillatch/node/call/DispatchMessage.java
+++ b/node/src/main/java/org/anvillatch/node/call/DispatchMessage.java
@@ -13,6 +13,7 @@
  * @param fingerprint hash of the operation and the body
  * @param remainingMicros time left until nobody waits
  * @param retries retries that calls below this one may cause
+ * @param head head of a request that is passed on unread, or null
  */
 public record DispatchMessage(
         CallContext context,
@@ -21,5 +22,6 @@
         CallBody body,
         String fingerprint,
         long remainingMicros,
-        int retries)
+        int retries,
+        ExchangeHead head)
         implements PeerMessage {}
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/call/Fingerprint.java
@@ -0,0 +1,25 @@
+package org.anvillatch.node.call;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
+
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/** Hash by which a request that crashes endpoints is recognised when it comes again. Stateless and thread safe. */
+public final class Fingerprint {
+    private Fingerprint() {}
+
+    /**
+     * Computes the fingerprint of a request.
+     *
+     * @param name what the request asks for, without what differs between two sends of it
+     * @param content its body
+     * @return hexadecimal digits
+     */
+    public static String of(String name, byte[] content) {
+        int seed = MurmurHash3.hash32x86(name.getBytes(StandardCharsets.UTF_8));
+        long[] hash = MurmurHash3.hash128x64(content, 0, content.length, seed);
+        HexFormat hex = HexFormat.of();
+        return hex.toHexDigits(seed) + hex.toHexDigits(hash[0]) + hex.toHexDigits(hash[1]);
+    }
+}
--- a/node/src/main/java/org/anvillatch/node/call/Gatekeeping.java
+++ b/node/src/main/java/org/anvillatch/node/call/Gatekeeping.java
@@ -1,6 +1,8 @@
 package org.anvillatch.node.call;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -22,7 +24,7 @@
 import org.anvillatch.decision.retry.RetryBudget;
 import org.anvillatch.node.decisionlog.Decision;
 import org.anvillatch.node.endpoint.EndpointAnnouncement;
-import org.anvillatch.node.endpoint.EndpointClient;
+import org.anvillatch.node.endpoint.EndpointPort;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
 
@@ -36,13 +38,19 @@
     private static final int SERVER_ERROR = 500;
     private static final int RECENT_SUCCESSES = 1_000;
 
+    /** Time between a broken answer and the sign of a crash that it can belong to, in microseconds. */
+    private static final long CRASH_WINDOW_MICROS = 1_000_000;
+
     private final DecisionLoop loop;
     private final HostState state;
-    private final EndpointClient client;
+    private final EndpointPort client;
     private final CallDecisions decisions;
     private final MetricRegistry metrics;
     private final Map<Long, Execution> executions = new HashMap<>();
+    private final Map<String, Execution> startedByPath = new HashMap<>();
     private final Set<String> recentSuccesses = new LinkedHashSet<>();
+    private final CrashEvidence crashEvidence;
+    private final Deque<BrokenExecution> brokenExecutions = new ArrayDeque<>();
     private Consumer<List<CrashSuspects.Suspicion>> crashListener = suspicions -> {};
     private EndpointAnnouncement endpoint;
     private long nextExecution = 1;
@@ -56,13 +64,16 @@
      * @param client sends to the endpoint
      * @param decisions receives every decision
      * @param metrics registry for counts
+     * @param crashEvidence what shows that the endpoint has crashed
      */
     public Gatekeeping(
             DecisionLoop loop,
             HostState state,
-            EndpointClient client,
+            EndpointPort client,
             CallDecisions decisions,
-            MetricRegistry metrics) {
+            MetricRegistry metrics,
+            CrashEvidence crashEvidence) {
+        this.crashEvidence = crashEvidence;
         this.loop = loop;
         this.state = state;
         this.client = client;
@@ -79,6 +90,8 @@
         crashListener = listener;
     }
 
+    private record BrokenExecution(String fingerprint, long atMicros) {}
+
     /** One dispatch at this host. Owned by the decision loop. */
     public final class Execution {
         private final long number;
@@ -222,6 +235,11 @@
      */
     public void announced(EndpointAnnouncement announcement) {
         boolean same = endpoint != null && endpoint.instance().equals(announcement.instance());
+        if (same && state.gatekeeper().phase() == EndpointPhase.SILENT) {
+            enter(EndpointPhase.SERVING);
+            applyDrain();
+            return;
+        }
         if (same && state.gatekeeper().phase() == EndpointPhase.SERVING) {
             return;
         }
@@ -274,6 +292,16 @@
         }
     }
 
+    /**
+     * Finds an execution by the place of its call.
+     *
+     * @param path place of the call within its root request
+     * @return the execution, or null if no such call runs at this host's endpoint
+     */
+    public Execution findByPath(String path) {
+        return startedByPath.get(path);
+    }
+
     private void perform(List<AdmissionAction> actions) {
         for (AdmissionAction action : actions) {
             Execution execution = executions.get(action.execution());
@@ -289,9 +317,10 @@
         long now = loop.nowMicros();
         execution.started = true;
         execution.startedMicros = now;
+        startedByPath.put(execution.message.context().path(), execution);
         record(execution, "start", "", 0);
         execution.abort = client.send(
-                endpoint.address(),
+                endpoint,
                 execution.name(),
                 execution.message,
                 execution.deadlineMicros - now,
@@ -313,31 +342,33 @@
         return status.running() + status.waiting();
     }
 
-    private void ended(Execution execution, EndpointClient.EndpointAnswer answer) {
+    private void ended(Execution execution, EndpointPort.EndpointAnswer answer) {
         executions.remove(execution.number);
+        startedByPath.remove(execution.message.context().path(), execution);
         long now = loop.nowMicros();
         long duration = now - execution.startedMicros;
         List<AdmissionAction> next = state.gatekeeper()
                 .finished(execution.number, ending(answer.ending()), duration, execution.message.operation(), now);
         List<CrashSuspects.Suspicion> suspicions = List.of();
-        if (answer.ending() == EndpointClient.Ending.BROKEN) {
-            suspicions = endpointBroke(execution);
-        } else if (answer.ending() == EndpointClient.Ending.NOT_CONNECTED) {
-            enter(EndpointPhase.SILENT);
-        } else if (answer.ending() == EndpointClient.Ending.ANSWERED) {
+        if (answer.ending() == EndpointPort.Ending.BROKEN) {
+            suspicions = endpointBroke(execution, now);
+        } else if (answer.ending() == EndpointPort.Ending.NOT_CONNECTED
+                || answer.ending() == EndpointPort.Ending.REPLACED) {
+            endpointGone(now);
+        } else if (answer.ending() == EndpointPort.Ending.ANSWERED) {
             rememberSuccess(execution.message.fingerprint());
         }
         execution.reply.accept(toCallAnswer(execution, answer, duration, suspicions));
         perform(next);
     }
 
-    private static ExecutionEnding ending(EndpointClient.Ending ending) {
+    private static ExecutionEnding ending(EndpointPort.Ending ending) {
         return switch (ending) {
             case ANSWERED -> ExecutionEnding.ANSWERED;
             case REJECTED -> ExecutionEnding.REJECTED;
             case TIMED_OUT -> ExecutionEnding.TIMED_OUT;
             case ABORTED -> ExecutionEnding.CANCELLED;
-            case BROKEN, MISMATCHED, NOT_CONNECTED -> ExecutionEnding.BROKEN;
+            case BROKEN, MISMATCHED, NOT_CONNECTED, REPLACED -> ExecutionEnding.BROKEN;
         };
     }
 
@@ -353,7 +384,11 @@
      * Suspects everything that ran when the endpoint's connection broke. A request that this endpoint has completed
      * before is not suspected, since a request that crashes endpoints crashes each of them.
      */
-    private List<CrashSuspects.Suspicion> endpointBroke(Execution broken) {
+    private List<CrashSuspects.Suspicion> endpointBroke(Execution broken, long nowMicros) {
+        if (crashEvidence == CrashEvidence.REFUSED_CONNECTION) {
+            brokenExecutions.addLast(new BrokenExecution(broken.message.fingerprint(), nowMicros));
+            return List.of();
+        }
         if (state.gatekeeper().phase() == EndpointPhase.SERVING) {
             crashes++;
             enter(EndpointPhase.SILENT);
@@ -370,9 +405,31 @@
         return List.of(suspicion);
     }
 
+    /** The endpoint takes no connections: what broke just before was running when it crashed. */
+    private void endpointGone(long nowMicros) {
+        enter(EndpointPhase.SILENT);
+        List<CrashSuspects.Suspicion> suspicions = new ArrayList<>();
+        if (!brokenExecutions.isEmpty()) {
+            crashes++;
+        }
+        String crash = state.membership().self().host() + "/" + crashes;
+        for (BrokenExecution broken : brokenExecutions) {
+            CrashSuspects.Suspicion suspicion = new CrashSuspects.Suspicion(broken.fingerprint(), crash);
+            if (nowMicros - broken.atMicros() < CRASH_WINDOW_MICROS
+                    && !recentSuccesses.contains(broken.fingerprint())
+                    && state.suspects().add(suspicion)) {
+                suspicions.add(suspicion);
+            }
+        }
+        brokenExecutions.clear();
+        if (!suspicions.isEmpty()) {
+            crashListener.accept(suspicions);
+        }
+    }
+
     private CallAnswer toCallAnswer(
             Execution execution,
-            EndpointClient.EndpointAnswer answer,
+            EndpointPort.EndpointAnswer answer,
             long duration,
             List<CrashSuspects.Suspicion> suspicions) {
         String host = state.membership().self().host().name();
@@ -383,11 +440,28 @@
             case ANSWERED -> {
                 Outcome outcome = answer.status() >= SERVER_ERROR ? Outcome.FAILED : Outcome.COMPLETE;
                 yield new CallAnswer(
-                        outcome, null, answer.status(), answer.body(), unspent, report, null, host, "", List.of());
+                        outcome,
+                        null,
+                        answer.status(),
+                        answer.body(),
+                        unspent,
+                        report,
+                        null,
+                        host,
+                        "",
+                        List.of(),
+                        answer.headers());
             }
             case REJECTED ->
                 CallAnswer.refused(
-                        RefusalReason.OVERLOAD, "the endpoint did not run the request", report, unspent, host);
+                        RefusalReason.ENDPOINT_REJECTED, "the endpoint did not run the request", report, unspent, host);
+            case REPLACED ->
+                CallAnswer.refused(
+                        RefusalReason.ENDPOINT_REJECTED,
+                        "another endpoint has the address of host " + host,
+                        report,
+                        unspent,
+                        host);
             case NOT_CONNECTED ->
                 CallAnswer.refused(
                         RefusalReason.NO_ENDPOINT,
--- a/node/src/main/java/org/anvillatch/node/caller/CallHandler.java
+++ b/node/src/main/java/org/anvillatch/node/caller/CallHandler.java
@@ -1,6 +1,5 @@
 package org.anvillatch.node.caller;
 
-import java.nio.charset.StandardCharsets;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -23,12 +22,12 @@
 import org.anvillatch.node.call.CallDecisions;
 import org.anvillatch.node.call.CallRouter;
 import org.anvillatch.node.call.EffectService;
+import org.anvillatch.node.call.Fingerprint;
 import org.anvillatch.node.call.Gatekeeping;
 import org.anvillatch.node.decisionlog.Decision;
 import org.anvillatch.node.endpoint.CallHeaders;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
-import org.apache.commons.codec.digest.MurmurHash3;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
@@ -229,8 +228,8 @@
         long millis = number(exchange.request(), CallHeaders.TIMEOUT, longestMillis, 1, Integer.MAX_VALUE);
         long deadline = loop.nowMicros() + Math.min(longestMicros, millis * MICROS_PER_MILLI);
         String key = keyOf(exchange.request(), policy, context);
-        String fingerprint = fingerprint(exchange.operation(), body);
-        Call call = new Call(context, exchange.operation(), policy, body, key, fingerprint, deadline, retries);
+        String fingerprint = Fingerprint.of(exchange.operation().toString(), body.content());
+        Call call = new Call(context, exchange.operation(), policy, body, key, fingerprint, deadline, retries, 0, null);
         long started = System.nanoTime();
         if (!key.isEmpty()) {
             effects.run(call, answer -> finish(exchange, call, answer, parent, started));
@@ -272,13 +271,6 @@
         }
     }
 
-    private static String fingerprint(OperationName operation, CallBody body) {
-        byte[] name = operation.toString().getBytes(StandardCharsets.UTF_8);
-        int seed = MurmurHash3.hash32x86(name);
-        long[] hash = MurmurHash3.hash128x64(body.content(), 0, body.content().length, seed);
-        return String.format("%08x%016x%016x", seed, hash[0], hash[1]);
-    }
-
     private void finish(
             Exchange exchange, Call call, CallAnswer answer, Gatekeeping.Execution parent, long startedNanos) {
         timer.update(System.nanoTime() - startedNanos, TimeUnit.NANOSECONDS);
--- a/node/src/main/java/org/anvillatch/node/configuration/ConfigurationService.java
+++ b/node/src/main/java/org/anvillatch/node/configuration/ConfigurationService.java
@@ -19,6 +19,7 @@
 import org.anvillatch.decision.model.Rank;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
+import org.anvillatch.node.membership.VersionExchange;
 import org.anvillatch.node.peer.FrameCodec;
 import org.anvillatch.node.peer.GossipMessages;
 import org.anvillatch.node.peer.PeerClient;
@@ -35,7 +36,7 @@
  *
  * <p>Invariant: a change is reported as accepted only after its record was reduced.
  */
-public final class ConfigurationService {
+public final class ConfigurationService implements VersionExchange {
     /** Name of the stream. */
     public static final String STREAM = "configuration";
 
@@ -265,12 +266,13 @@
         }
     }
 
-    /**
-     * Fetches from another host if that host has reduced more.
-     *
-     * @param address IP number and port of the host
-     * @param coveredOffset how much it has reduced
-     */
+    @Override
+    public long version() {
+        return covered();
+    }
+
+    /** Fetches from another host if that host has reduced more. */
+    @Override
     public void heard(String address, long coveredOffset) {
         boolean behind = coveredOffset > covered() || !state.configuration().isKnown();
         if (!behind || !fetching.add(address)) {
--- a/node/src/main/java/org/anvillatch/node/endpoint/EndpointClient.java
+++ b/node/src/main/java/org/anvillatch/node/endpoint/EndpointClient.java
@@ -2,13 +2,13 @@
 
 import java.net.ConnectException;
 import java.net.SocketTimeoutException;
+import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
 import org.anvillatch.node.HttpClients;
-import org.anvillatch.node.Service;
 import org.anvillatch.node.StartException;
 import org.anvillatch.node.call.CallBody;
 import org.anvillatch.node.call.DispatchMessage;
@@ -30,7 +30,7 @@
  * <p>Invariants: each execution's callback is called exactly once; an answer that is truncated, or that names another
  * execution, closes its connection and is never passed on. Thread safe.
  */
-public final class EndpointClient implements Service {
+public final class EndpointClient implements EndpointPort {
     /** Largest answer that is accepted, in bytes. */
     public static final int LARGEST_ANSWER_BYTES = 2 * 1024 * 1024;
 
@@ -42,44 +42,6 @@
 
     private final HttpClient client;
 
-    /** How a request to the endpoint ended. */
-    public enum Ending {
-        /** A complete answer has arrived. */
-        ANSWERED,
-        /** The endpoint says that it did not run the request. */
-        REJECTED,
-        /** No connection could be made; nothing was sent. */
-        NOT_CONNECTED,
-        /** The deadline passed. */
-        TIMED_OUT,
-        /** The caller gave up. */
-        ABORTED,
-        /** The connection broke before the answer was complete. */
-        BROKEN,
-        /** The answer belongs to another execution. */
-        MISMATCHED
-    }
-
-    /**
-     * What the endpoint answered. Immutable and thread safe.
-     *
-     * @param ending how the request ended
-     * @param status HTTP status, 0 if there is no answer
-     * @param body the answer's bytes
-     * @param detail explanation for people
-     */
-    public record EndpointAnswer(Ending ending, int status, CallBody body, String detail) {}
-
-    /** Receiver of one answer; called on any thread. */
-    public interface AnswerListener {
-        /**
-         * The request has ended.
-         *
-         * @param answer how it ended
-         */
-        void ended(EndpointAnswer answer);
-    }
-
     private static final class AbortedException extends Exception {
         private static final long serialVersionUID = 1L;
 
@@ -120,31 +82,22 @@
         }
     }
 
-    /**
-     * Takes the bound on connections that the endpoint announced.
-     *
-     * @param connections connections that the endpoint accepts
-     */
+    @Override
     public void limitConnections(int connections) {
         client.setMaxConnectionsPerDestination(connections);
         client.setMaxRequestsQueuedPerDestination(connections);
     }
 
-    /**
-     * Sends one execution.
-     *
-     * @param address IP number and port of the endpoint
-     * @param execution identity that nested calls and the answer name
-     * @param message the call
-     * @param remainingMicros time left
-     * @param listener receives the ending
-     * @return handle that aborts the request
-     */
+    @Override
     public Runnable send(
-            String address, String execution, DispatchMessage message, long remainingMicros, AnswerListener listener) {
+            EndpointAnnouncement endpoint,
+            String execution,
+            DispatchMessage message,
+            long remainingMicros,
+            AnswerListener listener) {
         long remainingMillis = Math.max(1, remainingMicros / MICROS_PER_MILLI);
-        Request request = client.newRequest(
-                        "http://" + address + "/" + message.operation().operation())
+        Request request = client.newRequest("http://" + endpoint.address() + "/"
+                        + message.operation().operation())
                 .method(HttpMethod.POST)
                 .timeout(remainingMillis, TimeUnit.MILLISECONDS)
                 .body(new BytesRequestContent(
@@ -200,7 +153,7 @@
             boolean rejected = status == SERVICE_UNAVAILABLE && CallHeaders.NOT_RUN.equals(outcome);
             String type = result.getResponse().getHeaders().get(HttpHeader.CONTENT_TYPE);
             CallBody body = new CallBody(type == null ? "" : type, getContent());
-            return new EndpointAnswer(rejected ? Ending.REJECTED : Ending.ANSWERED, status, body, "");
+            return new EndpointAnswer(rejected ? Ending.REJECTED : Ending.ANSWERED, status, List.of(), body, "");
         }
 
         private EndpointAnswer failure(Result result) {
@@ -219,7 +172,7 @@
             } else {
                 ending = Ending.BROKEN;
             }
-            return new EndpointAnswer(ending, 0, CallBody.EMPTY, String.valueOf(cause.getMessage()));
+            return EndpointAnswer.without(ending, String.valueOf(cause.getMessage()));
         }
     }
 }
--- a/node/src/main/java/org/anvillatch/node/loop/HostState.java
+++ b/node/src/main/java/org/anvillatch/node/loop/HostState.java
@@ -10,6 +10,7 @@
 import org.anvillatch.decision.membership.Membership;
 import org.anvillatch.decision.quarantine.CrashSuspects;
 import org.anvillatch.decision.routing.EndpointSelector;
+import org.anvillatch.decision.routing.RoutesInForce;
 
 /**
  * Decision state of one host, and the randomness that decisions are given.
@@ -22,6 +23,7 @@
  * @param ledger idempotency keys issued by this host
  * @param suspects requests that crash endpoints
  * @param configuration configuration in force
+ * @param routes routes of requests that are passed on unread
  * @param random seeded source of randomness
  */
 public record HostState(
@@ -31,6 +33,7 @@
         EffectLedger ledger,
         CrashSuspects suspects,
         ConfigurationReducer configuration,
+        RoutesInForce routes,
         SplittableRandom random) {
     /**
      * Tells whether a request must not run, by observation or by an operator's word.
--- a/node/src/main/java/org/anvillatch/node/membership/MembershipService.java
+++ b/node/src/main/java/org/anvillatch/node/membership/MembershipService.java
@@ -5,11 +5,11 @@
 import java.util.Set;
 
 import org.anvillatch.decision.membership.Member;
+import org.anvillatch.decision.membership.MemberStatus;
 import org.anvillatch.decision.membership.Membership;
 import org.anvillatch.decision.membership.MembershipAction;
 import org.anvillatch.decision.membership.MembershipDigest;
 import org.anvillatch.decision.quarantine.CrashSuspects;
-import org.anvillatch.node.configuration.ConfigurationService;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
 import org.anvillatch.node.peer.GossipMessages;
@@ -30,10 +30,13 @@
     private static final long MESSAGE_TIMEOUT_MICROS = 1_000_000;
     private static final int FAREWELLS = 8;
 
+    /** Hosts that are told of a change at once; more would make the cost of a change grow with the system. */
+    private static final int ANNOUNCEMENTS = 32;
+
     private final DecisionLoop loop;
     private final HostState state;
     private final PeerClient peers;
-    private final ConfigurationService configuration;
+    private final VersionExchange versions;
 
     /**
      * Creates the service.
@@ -41,13 +44,13 @@
      * @param loop runs callbacks
      * @param state decision state of the host
      * @param peers sends to other hosts
-     * @param configuration learns which hosts have reduced more
+     * @param versions learns which hosts have newer versions
      */
-    public MembershipService(DecisionLoop loop, HostState state, PeerClient peers, ConfigurationService configuration) {
+    public MembershipService(DecisionLoop loop, HostState state, PeerClient peers, VersionExchange versions) {
         this.loop = loop;
         this.state = state;
         this.peers = peers;
-        this.configuration = configuration;
+        this.versions = versions;
     }
 
     /** Sends what is due. */
@@ -64,11 +67,11 @@
     }
 
     private long covered() {
-        return state.configuration().coveredOffset();
+        return versions.version();
     }
 
     private void ping(String address, String target) {
-        peers.send(address, pingMessage(), MESSAGE_TIMEOUT_MICROS, new Listener(address) {
+        peers.send(address, pingMessage(target), MESSAGE_TIMEOUT_MICROS, new Listener(address) {
             @Override
             void received(PeerMessage message) {
                 takeAnswer(address, target, message);
@@ -76,9 +79,15 @@
         });
     }
 
-    private PeerMessage pingMessage() {
+    private PeerMessage pingMessage(String target) {
         Membership membership = state.membership();
-        return new GossipMessages.Ping(membership.self(), membership.updatesToSend(), covered());
+        List<Member> updates = new ArrayList<>(membership.updatesToSend());
+        Member known = membership.find(target);
+        if (known != null && known.status() != MemberStatus.ALIVE) {
+            // The target can only refute what it hears.
+            updates.add(known);
+        }
+        return new GossipMessages.Ping(membership.self(), updates, covered());
     }
 
     private void takeAnswer(String address, String target, PeerMessage message) {
@@ -88,7 +97,7 @@
             if (answer.name().equals(target)) {
                 state.membership().answered(target);
             }
-            configuration.heard(address, answer.coveredOffset());
+            versions.heard(address, answer.coveredOffset());
         }
     }
 
@@ -127,7 +136,7 @@
         List<Member> own = MembershipDigest.select(membership.all(), answer.differing(), buckets);
         membership.learn(answer.members(), loop.nowMicros());
         answer.suspicions().forEach(state.suspects()::add);
-        configuration.heard(address, answer.coveredOffset());
+        versions.heard(address, answer.coveredOffset());
         if (!own.isEmpty()) {
             peers.send(address, new GossipMessages.Members(own), MESSAGE_TIMEOUT_MICROS, new Listener(address));
         }
@@ -143,10 +152,14 @@
         List<Member> heard = new ArrayList<>(ping.updates());
         heard.add(ping.sender());
         state.membership().learn(heard, loop.nowMicros());
-        configuration.heard(ping.sender().address(), ping.coveredOffset());
+        versions.heard(ping.sender().address(), ping.coveredOffset());
         Membership membership = state.membership();
-        reply.send(
-                new GossipMessages.PingAnswer(membership.self().host().name(), membership.updatesToSend(), covered()));
+        List<Member> updates = new ArrayList<>(membership.updatesToSend());
+        Member known = membership.find(ping.sender().host().name());
+        if (known != null && known.overrides(ping.sender())) {
+            updates.add(known);
+        }
+        reply.send(new GossipMessages.PingAnswer(membership.self().host().name(), updates, covered()));
     }
 
     /**
@@ -156,19 +169,23 @@
      * @param reply sends the answer
      */
     public void answer(GossipMessages.IndirectPing request, PeerServer.Reply reply) {
-        peers.send(request.targetAddress(), pingMessage(), MESSAGE_TIMEOUT_MICROS, new PeerClient.AnswerListener() {
-            @Override
-            public void answered(PeerMessage message) {
-                boolean alive = message instanceof GossipMessages.PingAnswer answer
-                        && answer.name().equals(request.target());
-                reply.send(new GossipMessages.Acknowledge(alive));
-            }
+        peers.send(
+                request.targetAddress(),
+                pingMessage(request.target()),
+                MESSAGE_TIMEOUT_MICROS,
+                new PeerClient.AnswerListener() {
+                    @Override
+                    public void answered(PeerMessage message) {
+                        boolean alive = message instanceof GossipMessages.PingAnswer answer
+                                && answer.name().equals(request.target());
+                        reply.send(new GossipMessages.Acknowledge(alive));
+                    }
 
-            @Override
-            public void failed(PeerClient.PeerFailure failure) {
-                reply.send(new GossipMessages.Acknowledge(false));
-            }
-        });
+                    @Override
+                    public void failed(PeerClient.PeerFailure failure) {
+                        reply.send(new GossipMessages.Acknowledge(false));
+                    }
+                });
     }
 
     /**
@@ -182,7 +199,7 @@
         int buckets = request.digest().length;
         Set<Integer> differing = MembershipDigest.differing(request.digest(), MembershipDigest.of(all, buckets));
         request.suspicions().forEach(state.suspects()::add);
-        configuration.heard(request.sender(), request.coveredOffset());
+        versions.heard(request.sender(), request.coveredOffset());
         reply.send(new GossipMessages.SynchronizeAnswer(
                 differing,
                 MembershipDigest.select(all, differing, buckets),
@@ -223,8 +240,20 @@
     public void leave() {
         state.membership().leave();
         List<Member> others = state.membership().othersPresent();
-        for (Member member : others.subList(0, Math.min(FAREWELLS, others.size()))) {
-            peers.send(member.address(), pingMessage(), MESSAGE_TIMEOUT_MICROS, new Listener(member.address()));
+        tell(others.subList(0, Math.min(FAREWELLS, others.size())));
+    }
+
+    /** Tells up to a bounded number of hosts at once of a change of this host; gossip tells the others. */
+    public void announce() {
+        List<Member> others = state.membership().othersPresent();
+        tell(others.subList(0, Math.min(ANNOUNCEMENTS, others.size())));
+    }
+
+    private void tell(List<Member> hosts) {
+        for (Member member : hosts) {
+            GossipMessages.Ping ping =
+                    new GossipMessages.Ping(state.membership().self(), List.of(), covered());
+            peers.send(member.address(), ping, MESSAGE_TIMEOUT_MICROS, new Listener(member.address()));
         }
     }
 
--- a/node/src/main/java/org/anvillatch/node/peer/FrameCodec.java
+++ b/node/src/main/java/org/anvillatch/node/peer/FrameCodec.java
@@ -11,11 +11,12 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.anvillatch.decision.configuration.ConfigurationChange;
+import org.msgpack.jackson.dataformat.JsonArrayFormat;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /**
  * Translates frames: four bytes of length, two bytes of mark, one byte of kind, one byte of flags, eight bytes of
- * correlation, then the message in MessagePack. Numbers are big-endian. Thread safe.
+ * correlation, then the message in MessagePack as an array of its components; later components are only appended. Numbers are big-endian. Thread safe.
  */
 public final class FrameCodec {
     /** Largest frame in bytes, without the length itself. */
@@ -25,7 +26,7 @@
     private static final int LENGTH_BYTES = 4;
     private static final int HEADER_BYTES = 12;
     private static final byte ANSWER_FLAG = 1;
-    private static final ObjectMapper MAPPER = configure(new ObjectMapper(new MessagePackFactory()));
+    private static final ObjectMapper MAPPER = configureFrames(new ObjectMapper(new MessagePackFactory()));
 
     @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
     @JsonSubTypes({
@@ -39,6 +40,12 @@
 
     private FrameCodec() {}
 
+    /** Writes records as arrays in the order of their components, so that no field name travels with each frame. */
+    private static ObjectMapper configureFrames(ObjectMapper mapper) {
+        configure(mapper).setAnnotationIntrospector(new JsonArrayFormat());
+        return mapper.setSerializationInclusion(JsonInclude.Include.ALWAYS);
+    }
+
     /**
      * Prepares a mapper for the types of the decision module.
      *
--- a/node/src/main/java/org/anvillatch/node/peer/GossipMessages.java
+++ b/node/src/main/java/org/anvillatch/node/peer/GossipMessages.java
@@ -7,6 +7,7 @@
 import org.anvillatch.decision.configuration.ConfigurationSnapshot;
 import org.anvillatch.decision.membership.Member;
 import org.anvillatch.decision.quarantine.CrashSuspects;
+import org.anvillatch.decision.routing.RouteTable;
 import org.anvillatch.node.decisionlog.Decision;
 import org.anvillatch.node.operator.HostStatus;
 
@@ -134,6 +135,19 @@
      */
     public record DecisionsAnswer(List<Decision> decisions) implements PeerMessage {}
 
+    /** Asks for the route table in force. */
+    public record RouteTableRequest() implements PeerMessage {}
+
+    /**
+     * Hands the route table on.
+     *
+     * @param table the table in force, or null before the first
+     */
+    public record RouteTableAnswer(RouteTable table) implements PeerMessage {}
+
+    /** Asks for a sign that the connection still carries frames; answered by {@link Acknowledge}. */
+    public record ConnectionCheck() implements PeerMessage {}
+
     /** Asks for the state of a host. */
     public record StatusRequest() implements PeerMessage {}
 
--- a/node/src/main/java/org/anvillatch/node/peer/MessageKind.java
+++ b/node/src/main/java/org/anvillatch/node/peer/MessageKind.java
@@ -44,7 +44,13 @@
     /** Answers a comparison. */
     SYNCHRONIZE_ANSWER(17, GossipMessages.SynchronizeAnswer.class),
     /** Hands members on. */
-    MEMBERS(18, GossipMessages.Members.class);
+    MEMBERS(18, GossipMessages.Members.class),
+    /** Asks for the route table that a host holds. */
+    ROUTE_TABLE_REQUEST(19, GossipMessages.RouteTableRequest.class),
+    /** Answers with the route table. */
+    ROUTE_TABLE_ANSWER(20, GossipMessages.RouteTableAnswer.class),
+    /** Asks for a sign of life on a connection. */
+    CONNECTION_CHECK(21, GossipMessages.ConnectionCheck.class);
 
     private final int code;
     private final Class<? extends PeerMessage> type;
--- a/node/src/main/java/org/anvillatch/node/peer/PeerClient.java
+++ b/node/src/main/java/org/anvillatch/node/peer/PeerClient.java
@@ -12,6 +12,7 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import org.anvillatch.node.ProbingConnector;
 import org.anvillatch.node.Service;
 import org.anvillatch.node.StartException;
 import org.anvillatch.node.loop.DecisionLoop;
@@ -33,7 +34,18 @@
  */
 public final class PeerClient implements Service {
     private static final Logger LOG = LoggerFactory.getLogger(PeerClient.class);
-    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+    /** Longest wait for a connection; hosts are a few milliseconds apart and accept without any work. */
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
+
+    /** Time between two looks at the connections, in microseconds. */
+    private static final long CHECK_PERIOD_MICROS = 100_000;
+
+    /** Silence on a connection with open requests after which it is checked, in microseconds. */
+    private static final long SILENCE_MICROS = 150_000;
+
+    /** Longest wait for the sign of life, in microseconds: three retransmissions of the least timeout of TCP. */
+    private static final long CHECK_TIMEOUT_MICROS = 600_000;
+
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(20);
 
     /** Why there is no answer. */
@@ -81,6 +93,8 @@
         private final Map<Long, Pending> pending = new HashMap<>();
         private final Map<Long, PeerMessage> waiting = new LinkedHashMap<>();
         private PeerConnection connection;
+        private long heardMicros;
+        private long checkedMicros;
 
         private Link(String address) {
             this.address = address;
@@ -88,7 +102,7 @@
     }
 
     private final DecisionLoop loop;
-    private final ClientConnector connector = new ClientConnector();
+    private final ClientConnector connector = new ProbingConnector();
     private final Map<String, Link> links = new HashMap<>();
     private final Counter bytesSent;
     private long nextCorrelation = 1;
@@ -116,6 +130,7 @@
 
     @Override
     public void start() throws StartException {
+        loop.repeat(CHECK_PERIOD_MICROS, this::checkSilent);
         try {
             connector.start();
         } catch (Exception failure) {
@@ -232,6 +247,7 @@
     }
 
     private void openedOnLoop(Link link, PeerConnection connection) {
+        link.heardMicros = loop.nowMicros();
         link.connection = connection;
         link.waiting.forEach((correlation, message) -> {
             Pending pending = link.pending.get(correlation);
@@ -242,6 +258,33 @@
         link.waiting.clear();
     }
 
+    /** Finds connections that no longer carry anything, which TCP itself reports only after minutes. */
+    private void checkSilent() {
+        long now = loop.nowMicros();
+        for (Link link : List.copyOf(links.values())) {
+            boolean quiet = !link.pending.isEmpty() && now - link.heardMicros > SILENCE_MICROS;
+            if (link.connection == null || !quiet) {
+                link.checkedMicros = 0;
+            } else if (link.checkedMicros == 0) {
+                link.checkedMicros = now;
+                check(link);
+            } else if (now - link.checkedMicros > CHECK_TIMEOUT_MICROS) {
+                LOG.warn("connection to {} is silent with {} open requests", link.address, link.pending.size());
+                link.connection.close();
+                broken(link);
+            }
+        }
+    }
+
+    private void check(Link link) {
+        try {
+            Frame frame = new Frame(nextCorrelation++, false, new GossipMessages.ConnectionCheck());
+            bytesSent.inc(link.connection.send(frame));
+        } catch (FrameException impossible) {
+            throw new IllegalStateException("a check is larger than a frame", impossible);
+        }
+    }
+
     private void broken(Link link) {
         links.remove(link.address, link);
         for (Pending pending : List.copyOf(link.pending.values())) {
@@ -264,6 +307,7 @@
         @Override
         public void received(PeerConnection connection, Frame frame) {
             loop.execute(() -> {
+                link.heardMicros = loop.nowMicros();
                 Pending pending = frame.answer() ? link.pending.remove(frame.correlation()) : null;
                 if (pending != null) {
                     stopTimeout(pending);
--- a/node/src/test/java/org/anvillatch/node/peer/FrameCodecTest.java
+++ b/node/src/test/java/org/anvillatch/node/peer/FrameCodecTest.java
@@ -20,6 +20,8 @@
 import org.anvillatch.node.call.CallBody;
 import org.anvillatch.node.call.CallContext;
 import org.anvillatch.node.call.DispatchMessage;
+import org.anvillatch.node.call.ExchangeHead;
+import org.anvillatch.node.call.HeaderField;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -72,9 +74,11 @@
                 new CallBody("text/plain", new byte[] {1, 2, 3}),
                 "00ff",
                 900_000,
-                2);
+                2,
+                new ExchangeHead("GET", "/a/b?c=d", List.of(new HeaderField("Accept", "*/*"))));
         DispatchMessage back = (DispatchMessage) throughTheWire(message);
         assertThat(back.context()).isEqualTo(message.context());
+        assertThat(back.head()).isEqualTo(message.head());
         assertThat(back.operation()).isEqualTo(message.operation());
         assertThat(back.body().content()).isEqualTo(message.body().content());
     }
