--- a/node/src/main/java/org/anvillatch/node/HttpClients.java
+++ b/node/src/main/java/org/anvillatch/node/HttpClients.java
@@ -5,6 +5,7 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportDynamic;
 import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.thread.Invocable;
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
@@ -39,7 +40,10 @@
         connector.setSelectors(1);
         connector.setExecutor(executor);
         connector.setScheduler(scheduler);
-        HttpClient client = new HttpClient(new HttpClientTransportDynamic(connector));
+        HttpClientTransportDynamic transport = new HttpClientTransportDynamic(connector);
+        // Callbacks only hand over to the decision loop, so no thread has to take the selector over meanwhile.
+        transport.setInvocationType(Invocable.InvocationType.NON_BLOCKING);
+        HttpClient client = new HttpClient(transport);
         client.setExecutor(executor);
         client.setScheduler(scheduler);
         client.setConnectTimeout(connectTimeoutMillis);
--- a/node/src/main/java/org/anvillatch/node/decisionlog/DecisionLog.java
+++ b/node/src/main/java/org/anvillatch/node/decisionlog/DecisionLog.java
@@ -1,13 +1,14 @@
 package org.anvillatch.node.decisionlog;
 
+import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
@@ -32,13 +33,17 @@
     private static final int QUEUE_LENGTH = 4_096;
     private static final long STOP_MILLIS = 1_000;
 
+    /** Time between two writes; one write for many lines spares a wake-up and a system call a line. */
+    private static final long BATCH_MILLIS = 100;
+
     /** Form of the lines. Immutable and thread safe. */
     public enum Format {
         /** Fields as {@code key=value}. */
         TEXT {
             @Override
             String line(Decision decision) {
-                return "kind=" + decision.kind() + " request=" + decision.request() + " attempt="
+                return Instant.ofEpochMilli(decision.atMillis()) + " kind=" + decision.kind() + " request="
+                        + decision.request() + " attempt="
                         + decision.attempt() + " operation=" + decision.operation() + " importance="
                         + decision.importance() + " candidate=" + decision.candidate() + " result="
                         + decision.result() + " reason=" + decision.reason() + " level=" + decision.level()
@@ -90,10 +95,12 @@
     private void write() {
         try {
             while (!stopping || !queue.isEmpty()) {
-                Decision decision = queue.poll(STOP_MILLIS / 10, TimeUnit.MILLISECONDS);
-                if (decision != null) {
-                    LINES.info(format.line(decision));
+                List<Decision> batch = new ArrayList<>();
+                queue.drainTo(batch);
+                if (!batch.isEmpty()) {
+                    LINES.info(batch.stream().map(format::line).collect(Collectors.joining(System.lineSeparator())));
                 }
+                Thread.sleep(BATCH_MILLIS);
             }
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
--- a/node/src/main/java/org/anvillatch/node/loop/DecisionLoop.java
+++ b/node/src/main/java/org/anvillatch/node/loop/DecisionLoop.java
@@ -1,35 +1,42 @@
 package org.anvillatch.node.loop;
 
-import java.util.concurrent.RejectedExecutionException;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.anvillatch.node.Service;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Runs every change of decision state on one thread, in order of submission.
+ * Runs every change of decision state one after the other, in order of submission, on the thread that submits it unless
+ * another thread is running tasks already. A submission therefore wakes no thread.
  *
- * <p>Invariant: no two tasks run at the same time. Thread safe.
+ * <p>Invariant: no two tasks run at the same time, and what one task wrote is seen by the next. Tasks must not block.
+ * Thread safe.
  */
 public final class DecisionLoop implements Service {
     private static final Logger LOG = LoggerFactory.getLogger(DecisionLoop.class);
     private static final long NANOS_PER_MICRO = 1_000;
     private static final long STOP_SECONDS = 1;
 
-    private final ScheduledThreadPoolExecutor executor;
+    private final ScheduledThreadPoolExecutor timers;
+    private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger unfinished = new AtomicInteger();
+    private volatile boolean stopped;
 
-    /** Creates the loop; its thread starts with the first task. */
+    /** Creates the loop; the thread of its timers starts with it. */
     public DecisionLoop() {
-        executor = new ScheduledThreadPoolExecutor(1, task -> {
-            Thread thread = new Thread(task, "decision-loop");
+        timers = new ScheduledThreadPoolExecutor(1, task -> {
+            Thread thread = new Thread(task, "decision-timers");
             thread.setDaemon(true);
             return thread;
         });
-        executor.setRemoveOnCancelPolicy(true);
-        executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+        timers.setRemoveOnCancelPolicy(true);
+        timers.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
     }
 
     /**
@@ -47,10 +54,13 @@
      * @param task the task
      */
     public void execute(Runnable task) {
-        try {
-            executor.execute(guarded(task));
-        } catch (RejectedExecutionException stopped) {
+        if (stopped) {
             LOG.debug("task after stop ignored");
+            return;
+        }
+        tasks.add(task);
+        if (unfinished.getAndIncrement() == 0) {
+            runAll();
         }
     }
 
@@ -62,7 +72,7 @@
      * @return handle that cancels the task
      */
     public ScheduledFuture<?> schedule(long delayMicros, Runnable task) {
-        return executor.schedule(guarded(task), Math.max(0, delayMicros), TimeUnit.MICROSECONDS);
+        return timers.schedule(() -> execute(task), Math.max(0, delayMicros), TimeUnit.MICROSECONDS);
     }
 
     /**
@@ -72,34 +82,35 @@
      * @param task the task
      */
     public void repeat(long periodMicros, Runnable task) {
-        executor.scheduleWithFixedDelay(guarded(task), periodMicros, periodMicros, TimeUnit.MICROSECONDS);
+        timers.scheduleWithFixedDelay(() -> execute(task), periodMicros, periodMicros, TimeUnit.MICROSECONDS);
     }
 
-    private static Runnable guarded(Runnable task) {
-        return () -> {
+    private void runAll() {
+        do {
             try {
-                task.run();
+                tasks.remove().run();
             } catch (RuntimeException failure) {
-                // A failed task must not end repeated tasks or the loop itself.
+                // A failed task must not end repeated tasks or keep later ones from running.
                 LOG.error("task failed", failure);
             }
-        };
+        } while (unfinished.decrementAndGet() > 0);
     }
 
     @Override
     public void start() {
-        executor.prestartCoreThread();
+        timers.prestartCoreThread();
     }
 
     @Override
     public void stop() {
-        executor.shutdown();
+        stopped = true;
+        timers.shutdown();
         try {
-            if (!executor.awaitTermination(STOP_SECONDS, TimeUnit.SECONDS)) {
-                executor.shutdownNow();
+            if (!timers.awaitTermination(STOP_SECONDS, TimeUnit.SECONDS)) {
+                timers.shutdownNow();
             }
         } catch (InterruptedException interrupted) {
-            executor.shutdownNow();
+            timers.shutdownNow();
             Thread.currentThread().interrupt();
         }
     }
--- a/node/src/main/java/org/anvillatch/node/peer/PeerConnection.java
+++ b/node/src/main/java/org/anvillatch/node/peer/PeerConnection.java
@@ -11,6 +11,7 @@
 import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.IteratingCallback;
+import org.eclipse.jetty.util.thread.Invocable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -21,7 +22,7 @@
  * <p>Invariants: frames are handed over in the order received; after the first invalid byte the connection closes and
  * nothing more is handed over; the listener's {@code closed} is called exactly once. Thread safe.
  */
-public final class PeerConnection extends AbstractConnection {
+public final class PeerConnection extends AbstractConnection implements Invocable {
     private static final Logger LOG = LoggerFactory.getLogger(PeerConnection.class);
     private static final int FIRST_BUFFER_BYTES = 16 * 1024;
 
@@ -156,6 +157,11 @@
         listener.closed(this);
     }
 
+    @Override
+    public InvocationType getInvocationType() {
+        return InvocationType.NON_BLOCKING;
+    }
+
     @Override
     public boolean onIdleExpired(TimeoutException timeout) {
         return true;
