--- a/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
@@ -168,6 +168,15 @@
         return actions;
     }
 
+    /**
+     * Tells whether time alone can change what is admitted.
+     *
+     * @return true while work waits or a level is in force
+     */
+    public boolean needsTick() {
+        return queue.size() > 0 || shedLevel.level() > 0;
+    }
+
     /**
      * Learns the level that a nested call has met.
      *
--- a/decision/src/main/java/org/anvillatch/decision/routing/EndpointLoad.java
+++ b/decision/src/main/java/org/anvillatch/decision/routing/EndpointLoad.java
@@ -60,8 +60,12 @@
     }
 
     double cost(int slots, long nowMicros) {
+        return utilization(slots, nowMicros) * latencyMicros;
+    }
+
+    /** Part of the slots that would be busy with one call more. */
+    double utilization(int slots, long nowMicros) {
         int reported = nowMicros - reportedMicros < REPORT_FRESH_MICROS ? reportedBusy : 0;
-        double busy = Math.max(inFlight, reported) + 1;
-        return busy / Math.max(1, slots) * latencyMicros;
+        return (Math.max(inFlight, reported) + 1.0) / Math.max(1, slots);
     }
 }
--- a/decision/src/main/java/org/anvillatch/decision/routing/EndpointSelector.java
+++ b/decision/src/main/java/org/anvillatch/decision/routing/EndpointSelector.java
@@ -15,8 +15,8 @@
 import org.anvillatch.decision.model.RefusalReason;
 
 /**
- * Chooses the host for a call: the cheapest of a few random candidates whose shed level admits the rank, in this
- * failure domain first (after Prequal, NSDI 2024).
+ * Chooses the host for a call: one of this failure domain while it has room, else the cheapest of a few random candidates
+ * whose shed level admits the rank (after Prequal, NSDI 2024).
  *
  * <p>Invariant: a host that is leaving, drained, dead or excluded is never chosen. Not thread safe: owned by the host's
  * decision loop.
@@ -28,6 +28,9 @@
     /** Factor on the cost of an endpoint in another failure domain. */
     public static final double OTHER_DOMAIN_COST = 1.5;
 
+    /** Part of its slots up to which an endpoint of this failure domain is preferred to any other domain's. */
+    public static final double OWN_DOMAIN_UTILIZATION = 0.75;
+
     private final Membership membership;
     private final Map<HostIdentity, EndpointLoad> loads = new HashMap<>();
     private final Map<String, List<Member>> byService = new HashMap<>();
@@ -65,7 +68,10 @@
         if (usable.isEmpty()) {
             return new RouteChoice(null, RefusalReason.NO_ENDPOINT, 0);
         }
-        Member best = cheapest(sample(usable, random), request, nowMicros);
+        Member best = cheapest(withRoomInDomain(usable, nowMicros), request, nowMicros);
+        if (best == null) {
+            best = cheapest(sample(usable, random), request, nowMicros);
+        }
         if (best == null) {
             best = cheapest(usable, request, nowMicros);
         }
@@ -110,6 +116,18 @@
         return byService.getOrDefault(service, List.of());
     }
 
+    /** Endpoints of this failure domain that are far from full: nothing is gained by crossing to another domain. */
+    private List<Member> withRoomInDomain(List<Member> usable, long nowMicros) {
+        List<Member> found = new ArrayList<>();
+        for (Member member : usable) {
+            if (member.domain().equals(membership.self().domain())
+                    && load(member).utilization(member.slots(), nowMicros) < OWN_DOMAIN_UTILIZATION) {
+                found.add(member);
+            }
+        }
+        return found;
+    }
+
     private List<Member> sample(List<Member> usable, RandomGenerator random) {
         if (usable.size() <= CANDIDATES) {
             return usable;
--- a/decision/src/test/java/org/anvillatch/decision/routing/EndpointSelectorTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/routing/EndpointSelectorTest.java
@@ -95,4 +95,16 @@
             assertThat(choose(0, Set.of(), Set.of()).host().host().name()).isEqualTo("good");
         }
     }
+
+    @Test
+    void staysInItsDomainWhileThereIsRoom() {
+        Member near = member("near", "d1", EndpointPhase.SERVING, MemberStatus.ALIVE);
+        know(near, member("far", "d2", EndpointPhase.SERVING, MemberStatus.ALIVE));
+        for (int running = 0; running < 7; running++) {
+            RouteChoice choice = choose(0, Set.of(), Set.of());
+            assertThat(choice.host().host().name()).isEqualTo("near");
+            selector.sent(near);
+        }
+        assertThat(choose(0, Set.of(), Set.of()).host().host().name()).isEqualTo("far");
+    }
 }
--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -57,7 +57,7 @@
 public final class Node implements Service {
     private static final Logger LOG = LoggerFactory.getLogger(Node.class);
     private static final long MICROS_PER_SECOND = 1_000_000;
-    private static final long TICK_MICROS = 5_000;
+    private static final long TICK_MICROS = 100_000;
     private static final long PAUSE_MICROS = 1_000_000;
     private static final long LEAVE_POLL_MILLIS = 20;
     private static final long LEAVE_SETTLE_MILLIS = 300;
@@ -202,7 +202,6 @@
             configurationService.readNow();
         }
         lastTickMicros = now;
-        gatekeeping.tick();
     }
 
     private void configurationChanged() {
--- a/node/src/main/java/org/anvillatch/node/call/Fingerprint.java
+++ b/node/src/main/java/org/anvillatch/node/call/Fingerprint.java
@@ -20,6 +20,6 @@
         int seed = MurmurHash3.hash32x86(name.getBytes(StandardCharsets.UTF_8));
         long[] hash = MurmurHash3.hash128x64(content, 0, content.length, seed);
         HexFormat hex = HexFormat.of();
-        return hex.toHexDigits(seed) + hex.toHexDigits(hash[0]) + hex.toHexDigits(hash[1]);
+        return hex.toHexDigits(seed) + hex.toHexDigits(hash[0]);
     }
 }
--- a/node/src/main/java/org/anvillatch/node/call/Gatekeeping.java
+++ b/node/src/main/java/org/anvillatch/node/call/Gatekeeping.java
@@ -38,6 +38,9 @@
     private static final int SERVER_ERROR = 500;
     private static final int RECENT_SUCCESSES = 1_000;
 
+    /** Time between two looks at the queue while anything waits, in microseconds. */
+    private static final long TICK_MICROS = 10_000;
+
     /** Time between a broken answer and the sign of a crash that it can belong to, in microseconds. */
     private static final long CRASH_WINDOW_MICROS = 1_000_000;
 
@@ -53,6 +56,7 @@
     private final Deque<BrokenExecution> brokenExecutions = new ArrayDeque<>();
     private Consumer<List<CrashSuspects.Suspicion>> crashListener = suspicions -> {};
     private EndpointAnnouncement endpoint;
+    private boolean ticking;
     private long nextExecution = 1;
     private long crashes;
 
@@ -223,11 +227,19 @@
         }
     }
 
-    /** Lets the gatekeeper drop overdue work. */
-    public void tick() {
+    /** Lets the gatekeeper drop overdue work, again and again while anything waits or is shed. */
+    private void tick() {
+        ticking = false;
         perform(state.gatekeeper().tick(loop.nowMicros()));
     }
 
+    private void tickWhileNeeded() {
+        if (!ticking && state.gatekeeper().needsTick()) {
+            ticking = true;
+            loop.schedule(TICK_MICROS, this::tick);
+        }
+    }
+
     /**
      * Takes the endpoint's announcement; one with another instance replaces the endpoint.
      *
@@ -311,6 +323,7 @@
                 refuse(execution, refusal.reason(), refusal.level());
             }
         }
+        tickWhileNeeded();
     }
 
     private void start(Execution execution) {
--- a/node/src/main/java/org/anvillatch/node/decisionlog/DecisionLog.java
+++ b/node/src/main/java/org/anvillatch/node/decisionlog/DecisionLog.java
@@ -94,17 +94,25 @@
 
     private void write() {
         try {
-            while (!stopping || !queue.isEmpty()) {
-                List<Decision> batch = new ArrayList<>();
-                queue.drainTo(batch);
-                if (!batch.isEmpty()) {
-                    LINES.info(batch.stream().map(format::line).collect(Collectors.joining(System.lineSeparator())));
-                }
+            while (!stopping) {
+                Decision first = queue.take();
                 Thread.sleep(BATCH_MILLIS);
+                writeBatch(first);
             }
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
+        } catch (InterruptedException stop) {
+            LOG.debug("writing what is left");
         }
+        Decision left = queue.poll();
+        if (left != null) {
+            writeBatch(left);
+        }
+    }
+
+    private void writeBatch(Decision first) {
+        List<Decision> batch = new ArrayList<>();
+        batch.add(first);
+        queue.drainTo(batch);
+        LINES.info(batch.stream().map(format::line).collect(Collectors.joining(System.lineSeparator())));
     }
 
     @Override
@@ -113,6 +121,7 @@
         if (writer == null) {
             return;
         }
+        writer.interrupt();
         try {
             writer.join(STOP_MILLIS);
         } catch (InterruptedException interrupted) {
--- a/node/src/main/java/org/anvillatch/node/membership/MembershipService.java
+++ b/node/src/main/java/org/anvillatch/node/membership/MembershipService.java
@@ -24,7 +24,7 @@
  */
 public final class MembershipService {
     /** Time between two ticks, in microseconds. */
-    public static final long TICK_MICROS = 50_000;
+    public static final long TICK_MICROS = 100_000;
 
     private static final Logger LOG = LoggerFactory.getLogger(MembershipService.class);
     private static final long MESSAGE_TIMEOUT_MICROS = 1_000_000;
