--- a/decision/src/main/java/org/anvillatch/decision/admission/AdmissionQueue.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/AdmissionQueue.java
@@ -11,8 +11,8 @@
 /**
  * Bounded queue of work that waits for a slot, highest rank first and oldest first within a rank.
  *
- * <p>Invariant: the queue never holds more than its capacity, and what is evicted ranks no higher than anything that
- * stays. Not thread safe: owned by the host's decision loop.
+ * <p>Invariant: the queue never holds more than its capacities, and what is evicted ranks no higher than anything of its
+ * kind that stays. Not thread safe: owned by the host's decision loop.
  */
 public final class AdmissionQueue {
     /**
@@ -28,27 +28,36 @@
             Comparator.comparingInt((Waiting waiting) -> -waiting.work().rank()).thenComparingLong(Waiting::sequence);
 
     private final TreeSet<Waiting> waiting = new TreeSet<>(SERVICE_ORDER);
+    private final TreeSet<Waiting> roots = new TreeSet<>(SERVICE_ORDER);
     private final Map<Long, Waiting> byExecution = new HashMap<>();
     private long nextSequence;
 
     /**
-     * Adds work and evicts the lowest rank if the queue is then too long.
+     * Adds work and evicts the lowest rank if too much waits then. Nested work is evicted only if the whole queue is too
+     * long, since refusing it wastes what the request above it has done already.
      *
      * @param work the request
-     * @param capacity how many may wait
+     * @param rootCapacity how much work may wait that is not nested
+     * @param capacity how much work may wait in all
      * @param nowMicros current time
      * @return the evicted work, which may be the one just added
      */
-    public Optional<Work> add(Work work, int capacity, long nowMicros) {
+    public Optional<Work> add(Work work, int rootCapacity, int capacity, long nowMicros) {
         Waiting entry = new Waiting(work, nowMicros, nextSequence++);
         waiting.add(entry);
+        if (!work.nested()) {
+            roots.add(entry);
+        }
         byExecution.put(work.execution(), entry);
-        if (waiting.size() <= capacity) {
-            return Optional.empty();
+        if (!work.nested() && roots.size() > rootCapacity) {
+            return Optional.of(evict(roots.last()));
         }
-        Waiting evicted = waiting.pollLast();
-        byExecution.remove(evicted.work().execution());
-        return Optional.of(evicted.work());
+        return waiting.size() > capacity ? Optional.of(evict(waiting.last())) : Optional.empty();
+    }
+
+    private Work evict(Waiting entry) {
+        remove(entry.work().execution());
+        return entry.work();
     }
 
     /**
@@ -59,6 +68,7 @@
     public Optional<Waiting> poll() {
         Waiting first = waiting.pollFirst();
         if (first != null) {
+            roots.remove(first);
             byExecution.remove(first.work().execution());
         }
         return Optional.ofNullable(first);
@@ -72,7 +82,11 @@
      */
     public boolean remove(long execution) {
         Waiting entry = byExecution.remove(execution);
-        return entry != null && waiting.remove(entry);
+        if (entry == null) {
+            return false;
+        }
+        roots.remove(entry);
+        return waiting.remove(entry);
     }
 
     /**
@@ -100,6 +114,7 @@
     public List<Work> clear() {
         List<Work> all = waiting.stream().map(Waiting::work).toList();
         waiting.clear();
+        roots.clear();
         byExecution.clear();
         return all;
     }
--- a/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
@@ -21,9 +21,12 @@
  * takes new work. Not thread safe: owned by the host's decision loop.
  */
 public final class Gatekeeper {
-    /** Length of the queue as a share of the limit. */
+    /** Length of the queue, as a share of the limit, up to which waiting is no sign of overload. */
     public static final double QUEUE_SHARE = 0.5;
 
+    /** How many times longer the queue may grow by nested work, whose refusal wastes what was done above it. */
+    public static final int NESTED_QUEUE_FACTOR = 6;
+
     private static final int LEAST_QUEUE = 4;
     private static final double LATENCY_WEIGHT = 0.1;
 
@@ -90,7 +93,8 @@
         if (isDoomed(work, nowMicros)) {
             return List.of(refuse(work, RefusalReason.DEADLINE, nowMicros));
         }
-        if (features.shedLevels() && work.rank() < downstream.level(work.operation(), nowMicros)) {
+        boolean excluded = work.rank() < downstream.level(work.operation(), nowMicros);
+        if (features.shedLevels() && excluded && !work.nested()) {
             return List.of(refuse(work, RefusalReason.OVERLOAD, nowMicros));
         }
         if (running.size() < limit.limit() && queue.size() == 0) {
@@ -101,12 +105,12 @@
     }
 
     private List<AdmissionAction> enqueue(Work work, long nowMicros) {
-        Optional<Work> evicted = queue.add(work, queueCapacity(), nowMicros);
+        if (queue.size() >= queueTarget()) {
+            shedLevel.pressed();
+        }
+        Optional<Work> evicted = queue.add(work, queueTarget(), NESTED_QUEUE_FACTOR * queueTarget(), nowMicros);
         List<AdmissionAction> actions = new ArrayList<>();
-        evicted.ifPresent(lowest -> {
-            shedLevel.evicted();
-            actions.add(refuse(lowest, RefusalReason.OVERLOAD, nowMicros));
-        });
+        evicted.ifPresent(lowest -> actions.add(refuse(lowest, RefusalReason.OVERLOAD, nowMicros)));
         actions.addAll(startWaiting(nowMicros));
         return actions;
     }
@@ -161,7 +165,7 @@
         shedLevel.advance(isIdle(), nowMicros);
         List<AdmissionAction> actions = new ArrayList<>();
         for (Work work : queue.removeOverdue(nowMicros)) {
-            shedLevel.evicted();
+            shedLevel.pressed();
             actions.add(refuse(work, RefusalReason.DEADLINE, nowMicros));
         }
         actions.addAll(startWaiting(nowMicros));
@@ -218,7 +222,7 @@
 
     private AdmissionAction startOrDrop(AdmissionQueue.Waiting next, long nowMicros) {
         if (isDoomed(next.work(), nowMicros)) {
-            shedLevel.evicted();
+            shedLevel.pressed();
             return refuse(next.work(), RefusalReason.DEADLINE, nowMicros);
         }
         running.add(next.work().execution());
@@ -244,7 +248,7 @@
         return queue.size() == 0 && running.size() < limit.limit();
     }
 
-    private int queueCapacity() {
+    private int queueTarget() {
         return Math.max(LEAST_QUEUE, (int) (limit.limit() * QUEUE_SHARE));
     }
 
--- a/decision/src/main/java/org/anvillatch/decision/admission/ShedLevel.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/ShedLevel.java
@@ -6,7 +6,7 @@
  * The lowest rank that one endpoint wants its senders to send. The endpoint's own queue refuses by eviction, which never
  * leaves a slot idle; the level tells senders to refuse earlier, before work is spent on what would be evicted.
  *
- * <p>Arrivals are counted by rank and evictions in total, with exponential decay. While more than a small part of the
+ * <p>Arrivals are counted by rank and pressed in total, with exponential decay. While more than a small part of the
  * arrivals is evicted, the level rises past a share of the arrivals in proportion (after DAGOR, SoCC 2018). While slots are
  * idle the level falls, faster the longer that lasts, so that the end of the overload ends the refusals.
  *
@@ -38,7 +38,7 @@
 
     private final double[] arrivals = new double[Rank.LIMIT];
     private double arrivalCount;
-    private double evictions;
+    private double pressed;
     private double level;
     private double fall = FIRST_FALL;
     private long nextStepMicros;
@@ -54,8 +54,8 @@
     }
 
     /** Counts work that was refused after it had arrived, because others ranked higher or its time ran out. */
-    public void evicted() {
-        evictions++;
+    public void pressed() {
+        pressed++;
     }
 
     /**
@@ -78,7 +78,7 @@
             return;
         }
         nextStepMicros = nowMicros + STEP_MICROS;
-        double pressure = evictions / Math.max(LEAST_ARRIVALS, arrivalCount);
+        double pressure = pressed / Math.max(LEAST_ARRIVALS, arrivalCount);
         if (idle) {
             level = Math.max(0, level - fall);
             fall = Math.min(Rank.BUCKETS, fall * FALL_GROWTH);
@@ -92,7 +92,7 @@
     private void raise(double excess) {
         double toExclude = GAIN * excess * arrivalCount;
         // What is served now must stay admitted: ranks above the arrivals are empty, and would let the level run away.
-        int highest = levelThatAdmits((arrivalCount - evictions) * SERVED_FACTOR);
+        int highest = levelThatAdmits((arrivalCount - pressed) * SERVED_FACTOR);
         if (excess > JUMP_EXCESS) {
             level = Math.max(level, highest);
             return;
@@ -119,6 +119,6 @@
             arrivals[rank] *= KEPT;
         }
         arrivalCount *= KEPT;
-        evictions *= KEPT;
+        pressed *= KEPT;
     }
 }
--- a/decision/src/main/java/org/anvillatch/decision/model/HostIdentity.java
+++ b/decision/src/main/java/org/anvillatch/decision/model/HostIdentity.java
@@ -11,4 +11,15 @@
     public String toString() {
         return name + "#" + incarnation;
     }
+
+    /** Written out, because the method that records generate is slow until it has been called often. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof HostIdentity that && name.equals(that.name) && incarnation == that.incarnation;
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * name.hashCode() + Long.hashCode(incarnation);
+    }
 }
--- a/decision/src/main/java/org/anvillatch/decision/model/OperationName.java
+++ b/decision/src/main/java/org/anvillatch/decision/model/OperationName.java
@@ -11,4 +11,15 @@
     public String toString() {
         return service + "/" + operation;
     }
+
+    /** Written out, because the method that records generate is slow until it has been called often. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof OperationName that && service.equals(that.service) && operation.equals(that.operation);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * service.hashCode() + operation.hashCode();
+    }
 }
--- a/node/src/main/java/org/anvillatch/node/ProbingConnector.java
+++ b/node/src/main/java/org/anvillatch/node/ProbingConnector.java
@@ -7,6 +7,7 @@
 
 import jdk.net.ExtendedSocketOptions;
 import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.ssl.SslContextFactory;
 
 /**
  * Opens connections on which the kernel probes for life, so that one whose other side went silent is found in seconds.
@@ -19,6 +20,18 @@
     /** Unanswered probes after which a connection is broken; together with the idle time about 3 s. */
     private static final int PROBES = 2;
 
+    /** Everything here is plain text; starting a TLS context would cost a sixth of the process's start. */
+    @Override
+    protected SslContextFactory.Client newSslContextFactory() {
+        return new SslContextFactory.Client() {
+            @Override
+            protected void doStart() {}
+
+            @Override
+            protected void doStop() {}
+        };
+    }
+
     @Override
     protected void configure(SelectableChannel channel) throws IOException {
         super.configure(channel);
--- a/node/src/main/java/org/anvillatch/node/call/CallContext.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallContext.java
@@ -10,4 +10,13 @@
  * @param singleRun true if no ancestor of the call can be executed twice
  * @param traceparent W3C trace context, may be empty
  */
-public record CallContext(String root, int attempt, String path, int rank, boolean singleRun, String traceparent) {}
+public record CallContext(String root, int attempt, String path, int rank, boolean singleRun, String traceparent) {
+    /**
+     * Tells whether the call serves another one that has begun to run.
+     *
+     * @return false for the root request itself
+     */
+    public boolean isNested() {
+        return !path.equals(root);
+    }
+}
--- a/node/src/main/java/org/anvillatch/node/call/CallRouter.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallRouter.java
@@ -11,6 +11,7 @@
 import com.codahale.metrics.MetricRegistry;
 import org.anvillatch.decision.membership.Member;
 import org.anvillatch.decision.model.Outcome;
+import org.anvillatch.decision.model.Rank;
 import org.anvillatch.decision.model.RefusalReason;
 import org.anvillatch.decision.retry.RetryBudget;
 import org.anvillatch.decision.retry.RetryRatio;
@@ -141,8 +142,8 @@
                 refuse(refusal, 0);
                 return;
             }
-            EndpointSelector.Request request = new EndpointSelector.Request(
-                    call.operation(), call.context().rank(), tried, state.drained());
+            EndpointSelector.Request request =
+                    new EndpointSelector.Request(call.operation(), admissionRank(), tried, state.drained());
             RouteChoice choice = state.selector().choose(request, now, state.random());
             if (!choice.isChosen()) {
                 refuse(lastRefusal == null ? choice.refusal() : lastRefusal, choice.level());
@@ -152,6 +153,11 @@
             dispatch(choice.host(), now);
         }
 
+        /** Shed levels decide about root requests only: what has begun is finished. */
+        private int admissionRank() {
+            return call.context().isNested() ? Rank.LIMIT : call.context().rank();
+        }
+
         private RefusalReason refusalBeforeRouting(long now) {
             if (cancelled) {
                 return RefusalReason.CANCELLED;
--- a/node/src/main/java/org/anvillatch/node/call/Gatekeeping.java
+++ b/node/src/main/java/org/anvillatch/node/call/Gatekeeping.java
@@ -192,7 +192,12 @@
         } else if (state.isQuarantined(message.fingerprint())) {
             refuse(execution, RefusalReason.QUARANTINED, 0);
         } else {
-            Work work = new Work(number, message.operation(), message.context().rank(), execution.deadlineMicros);
+            Work work = new Work(
+                    number,
+                    message.operation(),
+                    message.context().rank(),
+                    execution.deadlineMicros,
+                    message.context().isNested());
             perform(state.gatekeeper().offer(work, now));
         }
         return number;
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
@@ -0,0 +1,166 @@
+package org.anvillatch.node.peer;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.anvillatch.decision.model.OperationName;
+import org.anvillatch.decision.model.Outcome;
+import org.anvillatch.decision.model.RefusalReason;
+import org.anvillatch.decision.quarantine.CrashSuspects;
+import org.anvillatch.node.call.CallAnswer;
+import org.anvillatch.node.call.CallBody;
+import org.anvillatch.node.call.CallContext;
+import org.anvillatch.node.call.DispatchMessage;
+import org.anvillatch.node.call.ExchangeHead;
+import org.anvillatch.node.call.HeaderField;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Translates the two messages that every call sends, field by field. A mapper that finds the fields by reflection costs
+ * several times as much in a process that has served few calls. Enums travel as ordinals, so their constants are only
+ * appended. Stateless and thread safe.
+ */
+final class CallCodec {
+    private CallCodec() {}
+
+    static byte[] encode(DispatchMessage message) throws IOException {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            CallContext context = message.context();
+            packer.packString(context.root())
+                    .packInt(context.attempt())
+                    .packString(context.isNested() ? context.path() : "")
+                    .packInt(context.rank())
+                    .packBoolean(context.singleRun())
+                    .packString(context.traceparent());
+            packer.packString(message.operation().service())
+                    .packString(message.operation().operation())
+                    .packBoolean(message.idempotent());
+            pack(packer, message.body());
+            packer.packString(message.fingerprint())
+                    .packLong(message.remainingMicros())
+                    .packInt(message.retries());
+            if (message.head() == null) {
+                packer.packNil();
+            } else {
+                packer.packString(message.head().method())
+                        .packString(message.head().target());
+                pack(packer, message.head().headers());
+            }
+            return packer.toByteArray();
+        }
+    }
+
+    static DispatchMessage decodeDispatch(byte[] bytes) throws IOException {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            String root = unpacker.unpackString();
+            int attempt = unpacker.unpackInt();
+            String path = unpacker.unpackString();
+            CallContext context = new CallContext(
+                    root,
+                    attempt,
+                    path.isEmpty() ? root : path,
+                    unpacker.unpackInt(),
+                    unpacker.unpackBoolean(),
+                    unpacker.unpackString());
+            OperationName operation = new OperationName(unpacker.unpackString(), unpacker.unpackString());
+            boolean idempotent = unpacker.unpackBoolean();
+            CallBody body = body(unpacker);
+            String fingerprint = unpacker.unpackString();
+            long remaining = unpacker.unpackLong();
+            int retries = unpacker.unpackInt();
+            ExchangeHead head = null;
+            if (!unpacker.tryUnpackNil()) {
+                head = new ExchangeHead(unpacker.unpackString(), unpacker.unpackString(), headers(unpacker));
+            }
+            return new DispatchMessage(context, operation, idempotent, body, fingerprint, remaining, retries, head);
+        }
+    }
+
+    static byte[] encode(CallAnswer answer) throws IOException {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            pack(packer, answer.outcome());
+            pack(packer, answer.reason());
+            packer.packInt(answer.status());
+            pack(packer, answer.body());
+            packer.packInt(answer.unspentRetries())
+                    .packInt(answer.report().level())
+                    .packInt(answer.report().busy())
+                    .packLong(answer.report().durationMicros());
+            pack(packer, answer.firstOutcome());
+            packer.packString(answer.host()).packString(answer.detail());
+            packer.packArrayHeader(answer.suspicions().size());
+            for (CrashSuspects.Suspicion suspicion : answer.suspicions()) {
+                packer.packString(suspicion.fingerprint()).packString(suspicion.crash());
+            }
+            pack(packer, answer.headers());
+            return packer.toByteArray();
+        }
+    }
+
+    static CallAnswer decodeAnswer(byte[] bytes) throws IOException {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            Outcome outcome = constant(unpacker, Outcome.values());
+            RefusalReason reason = constant(unpacker, RefusalReason.values());
+            int status = unpacker.unpackInt();
+            CallBody body = body(unpacker);
+            int unspent = unpacker.unpackInt();
+            CallAnswer.LoadReport report =
+                    new CallAnswer.LoadReport(unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackLong());
+            Outcome first = constant(unpacker, Outcome.values());
+            String host = unpacker.unpackString();
+            String detail = unpacker.unpackString();
+            int count = unpacker.unpackArrayHeader();
+            List<CrashSuspects.Suspicion> suspicions = new ArrayList<>();
+            for (int index = 0; index < count; index++) {
+                suspicions.add(new CrashSuspects.Suspicion(unpacker.unpackString(), unpacker.unpackString()));
+            }
+            return new CallAnswer(
+                    outcome, reason, status, body, unspent, report, first, host, detail, suspicions, headers(unpacker));
+        }
+    }
+
+    private static void pack(MessageBufferPacker packer, CallBody body) throws IOException {
+        packer.packString(body.contentType()).packBinaryHeader(body.content().length);
+        packer.writePayload(body.content());
+    }
+
+    private static CallBody body(MessageUnpacker unpacker) throws IOException {
+        String type = unpacker.unpackString();
+        int length = unpacker.unpackBinaryHeader();
+        if (length > FrameCodec.LARGEST_FRAME_BYTES) {
+            throw new IOException("body of " + length + " bytes is longer than a frame");
+        }
+        return new CallBody(type, unpacker.readPayload(length));
+    }
+
+    private static void pack(MessageBufferPacker packer, List<HeaderField> headers) throws IOException {
+        packer.packArrayHeader(headers.size());
+        for (HeaderField field : headers) {
+            packer.packString(field.name()).packString(field.value());
+        }
+    }
+
+    private static List<HeaderField> headers(MessageUnpacker unpacker) throws IOException {
+        int count = unpacker.unpackArrayHeader();
+        List<HeaderField> headers = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            headers.add(new HeaderField(unpacker.unpackString(), unpacker.unpackString()));
+        }
+        return headers;
+    }
+
+    private static void pack(MessageBufferPacker packer, Enum<?> constant) throws IOException {
+        if (constant == null) {
+            packer.packNil();
+        } else {
+            packer.packInt(constant.ordinal());
+        }
+    }
+
+    private static <E> E constant(MessageUnpacker unpacker, E[] values) throws IOException {
+        return unpacker.tryUnpackNil() ? null : values[unpacker.unpackInt()];
+    }
+}
--- a/node/src/main/java/org/anvillatch/node/peer/FrameCodec.java
+++ b/node/src/main/java/org/anvillatch/node/peer/FrameCodec.java
@@ -7,10 +7,11 @@
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.anvillatch.decision.configuration.ConfigurationChange;
+import org.anvillatch.node.call.CallAnswer;
+import org.anvillatch.node.call.DispatchMessage;
 import org.msgpack.jackson.dataformat.JsonArrayFormat;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
@@ -20,7 +21,7 @@
  */
 public final class FrameCodec {
     /** Largest frame in bytes, without the length itself. */
-    public static final int LARGEST_FRAME_BYTES = 4 * 1024 * 1024;
+    public static final int LARGEST_FRAME_BYTES = 17 * 1024 * 1024;
 
     private static final short MARK = (short) 0xA417;
     private static final int LENGTH_BYTES = 4;
@@ -83,8 +84,14 @@
 
     private static byte[] encodeBody(PeerMessage message) throws FrameException {
         try {
+            if (message instanceof DispatchMessage dispatch) {
+                return CallCodec.encode(dispatch);
+            }
+            if (message instanceof CallAnswer answer) {
+                return CallCodec.encode(answer);
+            }
             return MAPPER.writeValueAsBytes(message);
-        } catch (JsonProcessingException failure) {
+        } catch (IOException failure) {
             throw new FrameException("cannot encode " + message.getClass().getSimpleName(), failure);
         }
     }
@@ -131,6 +138,12 @@
 
     private static PeerMessage decodeBody(MessageKind kind, byte[] body) throws FrameException {
         try {
+            if (kind == MessageKind.DISPATCH) {
+                return CallCodec.decodeDispatch(body);
+            }
+            if (kind == MessageKind.CALL_ANSWER) {
+                return CallCodec.decodeAnswer(body);
+            }
             PeerMessage message = MAPPER.readValue(body, kind.type());
             if (message == null) {
                 throw new FrameException("message of kind " + kind + " is empty", null);
--- a/node/src/main/java/org/anvillatch/node/peer/PeerServer.java
+++ b/node/src/main/java/org/anvillatch/node/peer/PeerServer.java
@@ -52,7 +52,20 @@
      * @param connection the connection
      * @param correlation number of the request on the connection
      */
-    public record RequestOrigin(PeerConnection connection, long correlation) {}
+    public record RequestOrigin(PeerConnection connection, long correlation) {
+        /** Written out, because the method that records generate is slow until it has been called often. */
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof RequestOrigin that
+                    && connection == that.connection
+                    && correlation == that.correlation;
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * System.identityHashCode(connection) + Long.hashCode(correlation);
+        }
+    }
 
     private final Executor executor;
     private final Handler handler;
