--- a/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
@@ -22,7 +22,10 @@
  */
 public final class Gatekeeper {
     /** Length of the queue, as a share of the limit, up to which waiting is no sign of overload. */
-    public static final double QUEUE_SHARE = 0.5;
+    public static final double QUEUE_SHARE = 0.2;
+
+    /** Length of the queue, as a share of the limit, up to which root requests may wait. */
+    public static final double ROOT_QUEUE_SHARE = 0.5;
 
     /** How many times longer the queue may grow by nested work, whose refusal wastes what was done above it. */
     public static final int NESTED_QUEUE_FACTOR = 6;
@@ -88,7 +91,7 @@
         if (!phase.takesNewWork()) {
             return List.of(refuse(work, phaseReason(), nowMicros));
         }
-        shedLevel.advance(isIdle(), nowMicros);
+        shedLevel.advance(queue.size(), queueTarget(), nowMicros);
         shedLevel.arrived(work.rank());
         if (isDoomed(work, nowMicros)) {
             return List.of(refuse(work, RefusalReason.DEADLINE, nowMicros));
@@ -105,10 +108,7 @@
     }
 
     private List<AdmissionAction> enqueue(Work work, long nowMicros) {
-        if (queue.size() >= queueTarget()) {
-            shedLevel.pressed();
-        }
-        Optional<Work> evicted = queue.add(work, queueTarget(), NESTED_QUEUE_FACTOR * queueTarget(), nowMicros);
+        Optional<Work> evicted = queue.add(work, rootQueue(), NESTED_QUEUE_FACTOR * rootQueue(), nowMicros);
         List<AdmissionAction> actions = new ArrayList<>();
         evicted.ifPresent(lowest -> actions.add(refuse(lowest, RefusalReason.OVERLOAD, nowMicros)));
         actions.addAll(startWaiting(nowMicros));
@@ -130,7 +130,8 @@
         if (!running.remove(execution)) {
             return List.of();
         }
-        shedLevel.advance(isIdle(), nowMicros);
+        shedLevel.ended();
+        shedLevel.advance(queue.size(), queueTarget(), nowMicros);
         if (ending == ExecutionEnding.ANSWERED) {
             limit.succeeded();
             latencyMicros.merge(
@@ -162,10 +163,9 @@
      * @return refusals of overdue work and starts of work that fits
      */
     public List<AdmissionAction> tick(long nowMicros) {
-        shedLevel.advance(isIdle(), nowMicros);
+        shedLevel.advance(queue.size(), queueTarget(), nowMicros);
         List<AdmissionAction> actions = new ArrayList<>();
         for (Work work : queue.removeOverdue(nowMicros)) {
-            shedLevel.pressed();
             actions.add(refuse(work, RefusalReason.DEADLINE, nowMicros));
         }
         actions.addAll(startWaiting(nowMicros));
@@ -222,7 +222,6 @@
 
     private AdmissionAction startOrDrop(AdmissionQueue.Waiting next, long nowMicros) {
         if (isDoomed(next.work(), nowMicros)) {
-            shedLevel.pressed();
             return refuse(next.work(), RefusalReason.DEADLINE, nowMicros);
         }
         running.add(next.work().execution());
@@ -235,6 +234,7 @@
     }
 
     private AdmissionAction refuse(Work work, RefusalReason reason, long nowMicros) {
+        shedLevel.ended();
         return new AdmissionAction.Refuse(work.execution(), reason, levelFor(work.operation(), nowMicros));
     }
 
@@ -244,12 +244,12 @@
                 : RefusalReason.DRAINING;
     }
 
-    private boolean isIdle() {
-        return queue.size() == 0 && running.size() < limit.limit();
+    private int queueTarget() {
+        return (int) Math.ceil(limit.limit() * QUEUE_SHARE);
     }
 
-    private int queueTarget() {
-        return Math.max(LEAST_QUEUE, (int) (limit.limit() * QUEUE_SHARE));
+    private int rootQueue() {
+        return Math.max(LEAST_QUEUE, (int) (limit.limit() * ROOT_QUEUE_SHARE));
     }
 
     /**
--- a/decision/src/main/java/org/anvillatch/decision/admission/ShedLevel.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/ShedLevel.java
@@ -3,42 +3,45 @@
 import org.anvillatch.decision.model.Rank;
 
 /**
- * The lowest rank that one endpoint wants its senders to send. The endpoint's own queue refuses by eviction, which never
- * leaves a slot idle; the level tells senders to refuse earlier, before work is spent on what would be evicted.
+ * The lowest rank that one endpoint wants its senders to send, so that they refuse before work is spent on what would be
+ * refused here.
  *
- * <p>Arrivals are counted by rank and pressed in total, with exponential decay. While more than a small part of the
- * arrivals is evicted, the level rises past a share of the arrivals in proportion (after DAGOR, SoCC 2018). While slots are
- * idle the level falls, faster the longer that lasts, so that the end of the overload ends the refusals.
+ * <p>The level follows the queue (after DAGOR, SoCC 2018). While the queue is longer than its target, the level rises past
+ * the share of the arrivals by which they exceed what is served; while the queue is short it falls, faster the longer that
+ * lasts, so that the end of the overload ends the refusals. Requests that were admitted go on sending nested calls for a
+ * while, so each step makes up for a part of the excess only.
  *
  * <p>Invariant: {@code 0 <= level <= Rank.LIMIT}. Not thread safe: owned by the host's decision loop.
  */
 public final class ShedLevel {
     /** Time between two adjustments, in microseconds. */
-    public static final long STEP_MICROS = 25_000;
+    public static final long STEP_MICROS = 100_000;
 
     /** Time in which a count decays to about a third, in microseconds. */
     public static final long DECAY_MICROS = 300_000;
 
-    /** Share of evicted arrivals above which the level rises. */
-    public static final double HIGH_PRESSURE = 0.05;
+    /** Part of the excess arrivals that one step excludes; requests last for several steps. */
+    public static final double GAIN = 0.5;
 
-    /** Share of the excess arrivals that one step excludes. */
-    public static final double GAIN = 0.15;
+    /** Part of the queue beyond its target that counts as excess of one step. */
+    public static final double QUEUE_GAIN = 0.1;
 
-    /** Excess above which the level rises at once as far as it may. */
-    public static final double JUMP_EXCESS = 0.2;
+    /** Largest part of the arrivals that one step excludes. */
+    public static final double LARGEST_STEP = 0.4;
 
-    /** What the level always admits, as a multiple of what is served. */
-    public static final double SERVED_FACTOR = 1.05;
+    /** Part of its target below which the queue counts as short. */
+    public static final double SHORT_QUEUE = 0.6;
 
     private static final double KEPT = Math.exp(-(double) STEP_MICROS / DECAY_MICROS);
-    private static final int LEAST_ARRIVALS = 4;
-    private static final double FIRST_FALL = 0.7;
-    private static final double FALL_GROWTH = 1.12;
+    private static final double LEAST_ARRIVALS = 0.01;
+    private static final double FIRST_FALL = 2;
+    private static final double FALL_GROWTH = 1.05;
 
     private final double[] arrivals = new double[Rank.LIMIT];
-    private double arrivalCount;
-    private double pressed;
+    private int arrivedInStep;
+    private int endedInStep;
+    private double queueInStep;
+    private int looksInStep;
     private double level;
     private double fall = FIRST_FALL;
     private long nextStepMicros;
@@ -50,16 +53,16 @@
      */
     public void arrived(int rank) {
         arrivals[rank]++;
-        arrivalCount++;
+        arrivedInStep++;
     }
 
-    /** Counts work that was refused after it had arrived, because others ranked higher or its time ran out. */
-    public void pressed() {
-        pressed++;
+    /** Counts work that has left: executed, refused or dropped. */
+    public void ended() {
+        endedInStep++;
     }
 
     /**
-     * Returns the level in force.
+     * Returns the level.
      *
      * @return lowest rank that senders should send
      */
@@ -68,57 +71,64 @@
     }
 
     /**
-     * Adjusts the level if it is time.
+     * Looks at the queue, and adjusts the level if a step has passed.
      *
-     * @param idle whether slots are free and nothing waits
+     * @param queueLength work that waits
+     * @param queueTarget work that may wait without being a sign of overload
      * @param nowMicros current time
      */
-    public void advance(boolean idle, long nowMicros) {
+    public void advance(int queueLength, int queueTarget, long nowMicros) {
+        queueInStep += queueLength;
+        looksInStep++;
         if (nowMicros < nextStepMicros) {
             return;
         }
         nextStepMicros = nowMicros + STEP_MICROS;
-        double pressure = pressed / Math.max(LEAST_ARRIVALS, arrivalCount);
-        if (idle) {
+        double queue = queueInStep / looksInStep;
+        if (queue > queueTarget) {
+            fall = FIRST_FALL;
+            raise(Math.max(0, arrivedInStep - endedInStep) + (queue - queueTarget) * QUEUE_GAIN);
+        } else if (queue < queueTarget * SHORT_QUEUE) {
             level = Math.max(0, level - fall);
             fall = Math.min(Rank.BUCKETS, fall * FALL_GROWTH);
-        } else {
-            fall = FIRST_FALL;
-            raise(pressure - HIGH_PRESSURE);
         }
         decay();
     }
 
     private void raise(double excess) {
-        double toExclude = GAIN * excess * arrivalCount;
-        // What is served now must stay admitted: ranks above the arrivals are empty, and would let the level run away.
-        int highest = levelThatAdmits((arrivalCount - pressed) * SERVED_FACTOR);
-        if (excess > JUMP_EXCESS) {
-            level = Math.max(level, highest);
-            return;
-        }
+        double share = Math.min(LARGEST_STEP, GAIN * excess / Math.max(1, arrivedInStep));
+        double toExclude = share * arrivalsFrom((int) level);
+        int highest = highestRankSeen();
         for (int rank = (int) level; rank < highest && toExclude > 0; rank++) {
             toExclude -= arrivals[rank];
             level = rank + 1;
         }
     }
 
-    private int levelThatAdmits(double target) {
+    private double arrivalsFrom(int rank) {
         double sum = 0;
-        for (int rank = Rank.LIMIT - 1; rank >= 0; rank--) {
-            sum += arrivals[rank];
-            if (sum > target) {
-                return rank;
-            }
+        for (int index = rank; index < Rank.LIMIT; index++) {
+            sum += arrivals[index];
+        }
+        return sum;
+    }
+
+    /** Ranks above all arrivals are empty, and would let the level run away. */
+    private int highestRankSeen() {
+        int rank = Rank.LIMIT - 1;
+        while (rank > 0 && arrivals[rank] < LEAST_ARRIVALS) {
+            rank--;
         }
-        return 0;
+        return rank;
     }
 
     private void decay() {
         for (int rank = 0; rank < arrivals.length; rank++) {
             arrivals[rank] *= KEPT;
         }
-        arrivalCount *= KEPT;
-        pressed *= KEPT;
+        arrivedInStep = 0;
+        endedInStep = 0;
+        queueInStep = 0;
+        looksInStep = 0;
     }
 }
--- a/node/src/main/java/org/anvillatch/node/ProbingConnector.java
+++ b/node/src/main/java/org/anvillatch/node/ProbingConnector.java
@@ -3,14 +3,18 @@
 import java.io.IOException;
 import java.net.StandardSocketOptions;
 import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 
 import jdk.net.ExtendedSocketOptions;
 import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.util.ssl.SslContextFactory;
 
 /**
- * Opens connections on which the kernel probes for life, so that one whose other side went silent is found in seconds.
+ * Opens connections on which the kernel probes for life, so that one whose other side went silent is found in seconds, and
+ * on which a reset is an error.
  * Thread safe.
  */
 public final class ProbingConnector extends ClientConnector {
@@ -32,6 +36,13 @@
         };
     }
 
+    @Override
+    protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
+        ResetAwareEndPoint endPoint = new ResetAwareEndPoint((SocketChannel) channel, selector, key, getScheduler());
+        endPoint.setIdleTimeout(getIdleTimeout().toMillis());
+        return endPoint;
+    }
+
     @Override
     protected void configure(SelectableChannel channel) throws IOException {
         super.configure(channel);
