--- a/node/src/main/java/org/anvillatch/node/decisionlog/DecisionLog.java
+++ b/node/src/main/java/org/anvillatch/node/decisionlog/DecisionLog.java
@@ -25,11 +25,14 @@
  * metric {@code log.dropped}; at most {@link #REMEMBERED} decisions are kept. Thread safe.
  */
 public final class DecisionLog implements Service {
+    /** Name of the logger that writes the lines. */
+    public static final String LOGGER_NAME = "anvillatch.decision";
+
     /** Number of decisions that are kept for operators. */
     public static final int REMEMBERED = 4_000;
 
     private static final Logger LOG = LoggerFactory.getLogger(DecisionLog.class);
-    private static final Logger LINES = LoggerFactory.getLogger("anvillatch.decision");
+    private static final Logger LINES = LoggerFactory.getLogger(LOGGER_NAME);
     private static final int QUEUE_LENGTH = 4_096;
     private static final long STOP_MILLIS = 1_000;
 
