--- a/node/src/main/java/org/anvillatch/node/operator/MetricsText.java
+++ b/node/src/main/java/org/anvillatch/node/operator/MetricsText.java
@@ -10,12 +10,18 @@
  * Writes metrics in the text form that scrapers read: one {@code name value} a line, durations in seconds. Stateless and
  * thread safe.
  */
-final class MetricsText {
+public final class MetricsText {
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
     private MetricsText() {}
 
-    static String of(MetricRegistry metrics) {
+    /**
+     * Writes all metrics.
+     *
+     * @param metrics the registry
+     * @return one line for each value
+     */
+    public static String of(MetricRegistry metrics) {
         StringBuilder text = new StringBuilder();
         metrics.getCounters().forEach((name, counter) -> line(text, name, "", counter.getCount()));
         metrics.getGauges().forEach((name, gauge) -> {
