--- a/decision/src/test/java/org/anvillatch/decision/admission/GatekeeperTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/admission/GatekeeperTest.java
@@ -144,4 +144,19 @@
         List<AdmissionAction> actions = gatekeeper.offer(new Work(1, feed, BULK, FAR), 2_000);
         assertThat(actions.get(0)).isInstanceOf(AdmissionAction.Refuse.class);
     }
+
+    @Test
+    void nestedWorkIsNeitherExcludedByALevelNorEvictedForRootRequests() {
+        gatekeeper.announced(4);
+        fillSlots(1);
+        for (int answer = 0; answer < 40; answer++) {
+            gatekeeper.downstreamLevel(OPERATION, new OperationName("below", "call"), IMPORTANT, 0);
+        }
+        assertThat(gatekeeper.offer(new Work(1, OPERATION, BULK, FAR, true), 0)).isEmpty();
+        for (int execution = 2; execution <= 20; execution++) {
+            for (AdmissionAction action : gatekeeper.offer(work(execution, IMPORTANT), 0)) {
+                assertThat(action.execution()).isNotEqualTo(1);
+            }
+        }
+    }
 }
--- a/decision/src/test/java/org/anvillatch/decision/membership/MembershipTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/membership/MembershipTest.java
@@ -120,4 +120,25 @@
         other.learn(List.of(before), network.now);
         assertThat(other.find("h2").status()).isEqualTo(MemberStatus.LEFT);
     }
+
+    private static Member member(String name, long incarnation, MemberStatus status) {
+        return new Member(new HostIdentity(name, incarnation), 0, name, "d", "s", 1, EndpointPhase.SERVING, status);
+    }
+
+    @Test
+    void lifeThatBeganWithAnEarlierClockTakesTheNextNumber() {
+        Membership membership = new Membership(member("h0", 5, MemberStatus.ALIVE), List.of());
+        membership.learn(List.of(member("h0", 9, MemberStatus.LEFT)), 0);
+        assertThat(membership.self().host().incarnation()).isEqualTo(10);
+        assertThat(membership.self().status()).isEqualTo(MemberStatus.ALIVE);
+    }
+
+    @Test
+    void hostTakenForDeadIsAskedAgain() {
+        Membership membership = new Membership(member("h0", 1, MemberStatus.ALIVE), List.of());
+        membership.learn(List.of(member("h1", 1, MemberStatus.ALIVE)), 0);
+        membership.learn(List.of(member("h1", 1, MemberStatus.DEAD)), 0);
+        List<MembershipAction> actions = membership.tick(Membership.PERIOD_MICROS, new SplittableRandom(1));
+        assertThat(actions).contains(new MembershipAction.Ping("h1", "h1"));
+    }
 }
