--- a/node/src/main/java/org/anvillatch/node/peer/PeerConnection.java
+++ b/node/src/main/java/org/anvillatch/node/peer/PeerConnection.java
@@ -10,8 +10,8 @@
 
 import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.IteratingCallback;
-import org.eclipse.jetty.util.thread.Invocable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -22,7 +22,7 @@
  * <p>Invariants: frames are handed over in the order received; after the first invalid byte the connection closes and
  * nothing more is handed over; the listener's {@code closed} is called exactly once. Thread safe.
  */
-public final class PeerConnection extends AbstractConnection implements Invocable {
+public final class PeerConnection extends AbstractConnection {
     private static final Logger LOG = LoggerFactory.getLogger(PeerConnection.class);
     private static final int FIRST_BUFFER_BYTES = 16 * 1024;
 
@@ -61,6 +61,7 @@
 
     private final Listener listener;
     private final Writer writer = new Writer();
+    private final Callback readCallback = new ReadCallback();
     private ByteBuffer input = ByteBuffer.allocate(FIRST_BUFFER_BYTES);
 
     /**
@@ -79,14 +80,14 @@
     public void onOpen() {
         super.onOpen();
         listener.opened(this);
-        fillInterested();
+        getEndPoint().fillInterested(readCallback);
     }
 
     @Override
     public void onFillable() {
         try {
             if (readAvailable()) {
-                fillInterested();
+                getEndPoint().fillInterested(readCallback);
             } else {
                 close();
             }
@@ -157,16 +158,29 @@
         listener.closed(this);
     }
 
-    @Override
-    public InvocationType getInvocationType() {
-        return InvocationType.NON_BLOCKING;
-    }
-
     @Override
     public boolean onIdleExpired(TimeoutException timeout) {
         return true;
     }
 
+    /** Reads on the selector's own thread, since listeners do not block. */
+    private final class ReadCallback implements Callback {
+        @Override
+        public void succeeded() {
+            onFillable();
+        }
+
+        @Override
+        public void failed(Throwable failure) {
+            onFillInterestedFailed(failure);
+        }
+
+        @Override
+        public InvocationType getInvocationType() {
+            return InvocationType.NON_BLOCKING;
+        }
+    }
+
     private final class Writer extends IteratingCallback {
         private final Queue<ByteBuffer> queue = new ArrayDeque<>();
 
