Avoid a host that says it leaves before gossip tells

Change: a refusal for leaving counts for 1 s at the sender, and the farewell goes to 32 hosts. Test: hostThatSaysItLeavesIsAvoidedBeforeGossipTells.

--- a/decision/src/main/java/org/anvillatch/decision/routing/EndpointLoad.java
+++ b/decision/src/main/java/org/anvillatch/decision/routing/EndpointLoad.java
@@ -17,6 +17,9 @@
     private static final int FAILURES_TO_EJECT = 2;
     private static final long FIRST_EJECTION_MICROS = 500_000;
     private static final long LONGEST_EJECTION_MICROS = 10_000_000;
+    /** Time for which the word of a leaving host counts, in microseconds: gossip takes no longer. */
+    private static final long LEAVING_MICROS = 1_000_000;
+
     private static final double LATENCY_WEIGHT = 0.1;
 
     private final Map<OperationName, LearnedLevel> levels = new HashMap<>();
@@ -42,6 +45,10 @@
         }
     }
 
+    void leaving(long nowMicros) {
+        ejectedUntilMicros = Math.max(ejectedUntilMicros, nowMicros + LEAVING_MICROS);
+    }
+
     void failed(long nowMicros) {
         inFlight = Math.max(0, inFlight - 1);
         failures++;
--- a/decision/src/main/java/org/anvillatch/decision/routing/EndpointSelector.java
+++ b/decision/src/main/java/org/anvillatch/decision/routing/EndpointSelector.java
@@ -192,6 +192,16 @@
         load(host).answered(report, nowMicros);
     }
 
+    /**
+     * Notes that a host takes no new work, before gossip tells.
+     *
+     * @param host the host that said so
+     * @param nowMicros current time
+     */
+    public void leaving(Member host, long nowMicros) {
+        load(host).leaving(nowMicros);
+    }
+
     /**
      * Notes a call without an answer.
      *
--- a/decision/src/test/java/org/anvillatch/decision/routing/EndpointSelectorTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/routing/EndpointSelectorTest.java
@@ -107,4 +107,12 @@
         }
         assertThat(choose(0, Set.of(), Set.of()).host().host().name()).isEqualTo("far");
     }
+
+    @Test
+    void hostThatSaysItLeavesIsAvoidedBeforeGossipTells() {
+        Member leaving = member("leaving", "d1", EndpointPhase.SERVING, MemberStatus.ALIVE);
+        know(leaving, member("far", "d2", EndpointPhase.SERVING, MemberStatus.ALIVE));
+        selector.leaving(leaving, NOW);
+        assertThat(choose(0, Set.of(), Set.of()).host().host().name()).isEqualTo("far");
+    }
 }
--- a/node/src/main/java/org/anvillatch/node/call/CallRouter.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallRouter.java
@@ -224,6 +224,9 @@
             CallAnswer.LoadReport load = answer.report();
             AnswerReport report = new AnswerReport(call.operation(), load.level(), load.busy(), load.durationMicros());
             state.selector().answered(host, report, now);
+            if (answer.reason() == RefusalReason.DRAINING || answer.reason() == RefusalReason.NO_ENDPOINT) {
+                state.selector().leaving(host, now);
+            }
             answer.suspicions().forEach(state.suspects()::add);
             budget.giveBack(answer.unspentRetries());
             retryOrEnd(host, answer);
--- a/node/src/main/java/org/anvillatch/node/decisionlog/DecisionLog.java
+++ b/node/src/main/java/org/anvillatch/node/decisionlog/DecisionLog.java
@@ -39,6 +39,9 @@
     /** Time between two writes; one write for many lines spares a wake-up and a system call a line. */
     private static final long BATCH_MILLIS = 100;
 
+    /** Lines of one write: what a pipe takes in one piece, 4 KiB, so that lines of two processes don't mix. */
+    private static final int LINES_PER_WRITE = 16;
+
     /** Form of the lines. Immutable and thread safe. */
     public enum Format {
         /** Fields as {@code key=value}. */
@@ -115,7 +118,10 @@
         List<Decision> batch = new ArrayList<>();
         batch.add(first);
         queue.drainTo(batch);
-        LINES.info(batch.stream().map(format::line).collect(Collectors.joining(System.lineSeparator())));
+        for (int begin = 0; begin < batch.size(); begin += LINES_PER_WRITE) {
+            List<Decision> part = batch.subList(begin, Math.min(batch.size(), begin + LINES_PER_WRITE));
+            LINES.info(part.stream().map(format::line).collect(Collectors.joining(System.lineSeparator())));
+        }
     }
 
     @Override
--- a/node/src/main/java/org/anvillatch/node/membership/MembershipService.java
+++ b/node/src/main/java/org/anvillatch/node/membership/MembershipService.java
@@ -28,8 +28,6 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(MembershipService.class);
     private static final long MESSAGE_TIMEOUT_MICROS = 1_000_000;
-    private static final int FAREWELLS = 8;
-
     /** Hosts that are told of a change at once; more would make the cost of a change grow with the system. */
     private static final int ANNOUNCEMENTS = 32;
 
@@ -240,7 +238,7 @@
     public void leave() {
         state.membership().leave();
         List<Member> others = state.membership().othersPresent();
-        tell(others.subList(0, Math.min(FAREWELLS, others.size())));
+        tell(others.subList(0, Math.min(ANNOUNCEMENTS, others.size())));
     }
 
     /** Tells up to a bounded number of hosts at once of a change of this host; gossip tells the others. */
