--- a/decision/src/main/java/org/anvillatch/decision/retry/RetryRatio.java
+++ b/decision/src/main/java/org/anvillatch/decision/retry/RetryRatio.java
@@ -1,5 +1,7 @@
 package org.anvillatch.decision.retry;
 
+import java.util.function.DoubleSupplier;
+
 /**
  * Caps the retries towards one service at a share of its first tries, on top of each root request's budget (Google SRE
  * book, chapter "Handling Overload"). Not thread safe: owned by the host's decision loop.
@@ -14,29 +16,30 @@
     public static final double MOST_TOKENS = 20;
 
     private final double share;
-    private final double mostTokens;
+    private final DoubleSupplier mostTokens;
     private double tokens;
 
-    /** Creates a ratio with the usual share and tokens. */
+    /** Creates a ratio with the usual share and all its tokens. */
     public RetryRatio() {
-        this(SHARE, MOST_TOKENS);
+        this(SHARE, () -> MOST_TOKENS, MOST_TOKENS);
     }
 
     /**
      * Creates a ratio.
      *
      * @param share tokens earned by each first try, as a fraction
-     * @param mostTokens most tokens that are kept, and those at the start
+     * @param mostTokens most tokens that are kept, which may change with the number of hosts that share a bound
+     * @param firstTokens tokens at the start
      */
-    public RetryRatio(double share, double mostTokens) {
+    public RetryRatio(double share, DoubleSupplier mostTokens, double firstTokens) {
         this.share = share;
         this.mostTokens = mostTokens;
-        this.tokens = mostTokens;
+        this.tokens = firstTokens;
     }
 
     /** Notes a first try. */
     public void firstTry() {
-        tokens = Math.min(mostTokens, tokens + share);
+        tokens = Math.min(mostTokens.getAsDouble(), tokens + share);
     }
 
     /**
