--- a/node/src/main/java/org/anvillatch/node/HttpClients.java
+++ b/node/src/main/java/org/anvillatch/node/HttpClients.java
@@ -7,11 +7,15 @@
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.Invocable;
 import org.eclipse.jetty.util.thread.Scheduler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Creates HTTP clients that share the node's threads. Stateless and thread safe.
  */
 public final class HttpClients {
+    private static final Logger LOG = LoggerFactory.getLogger(HttpClients.class);
+
     private HttpClients() {}
 
     /**
@@ -49,4 +53,34 @@
         client.setConnectTimeout(connectTimeoutMillis);
         return client;
     }
+
+    /**
+     * Starts a client that passes contents on as they are.
+     *
+     * @param client the client
+     * @param name what it connects to, for the message
+     * @throws StartException if it cannot start
+     */
+    public static void start(HttpClient client, String name) throws StartException {
+        try {
+            client.start();
+            client.getContentDecoderFactories().clear();
+        } catch (Exception failure) {
+            throw new StartException(name + ": " + failure.getMessage(), failure);
+        }
+    }
+
+    /**
+     * Stops a client.
+     *
+     * @param client the client
+     * @param name what it connects to, for the log
+     */
+    public static void stop(HttpClient client, String name) {
+        try {
+            client.stop();
+        } catch (Exception failure) {
+            LOG.warn("{} did not stop cleanly", name, failure);
+        }
+    }
 }
--- a/node/src/main/java/org/anvillatch/node/NodeServer.java
+++ b/node/src/main/java/org/anvillatch/node/NodeServer.java
@@ -1,6 +1,5 @@
 package org.anvillatch.node;
 
-import java.io.IOException;
 import java.util.List;
 
 import org.anvillatch.node.peer.PeerServer;
@@ -65,7 +64,7 @@
     @Override
     public void start() throws StartException {
         for (Connector connector : server.getConnectors()) {
-            open((ServerConnector) connector);
+            Listeners.open((ServerConnector) connector, "--" + connector.getName());
         }
         try {
             server.start();
@@ -74,24 +73,6 @@
         }
     }
 
-    private static void open(ServerConnector connector) throws StartException {
-        try {
-            connector.open();
-        } catch (IOException failure) {
-            String address = connector.getHost() + ":" + connector.getPort();
-            throw new StartException(
-                    "--" + connector.getName() + " " + address + ": cannot listen: " + rootMessage(failure), failure);
-        }
-    }
-
-    private static String rootMessage(Throwable failure) {
-        Throwable root = failure;
-        while (root.getCause() != null) {
-            root = root.getCause();
-        }
-        return root.getMessage();
-    }
-
     @Override
     public void stop() {
         try {
--- a/node/src/main/java/org/anvillatch/node/endpoint/EndpointClient.java
+++ b/node/src/main/java/org/anvillatch/node/endpoint/EndpointClient.java
@@ -1,12 +1,8 @@
 package org.anvillatch.node.endpoint;
 
-import java.net.ConnectException;
-import java.net.SocketTimeoutException;
 import java.util.List;
 import java.util.concurrent.Executor;
-import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 
 import org.anvillatch.node.HttpClients;
 import org.anvillatch.node.StartException;
@@ -21,8 +17,6 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.util.thread.Scheduler;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Sends executions to the endpoint of this host by HTTP.
@@ -34,7 +28,6 @@
     /** Largest answer that is accepted, in bytes. */
     public static final int LARGEST_ANSWER_BYTES = 2 * 1024 * 1024;
 
-    private static final Logger LOG = LoggerFactory.getLogger(EndpointClient.class);
     private static final long MICROS_PER_MILLI = 1_000;
     private static final long IDLE_MILLIS = 30_000;
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
@@ -42,14 +35,6 @@
 
     private final HttpClient client;
 
-    private static final class AbortedException extends Exception {
-        private static final long serialVersionUID = 1L;
-
-        private AbortedException() {
-            super("the caller gave up", null, false, false);
-        }
-    }
-
     /**
      * Creates the client.
      *
@@ -65,21 +50,12 @@
 
     @Override
     public void start() throws StartException {
-        try {
-            client.start();
-            client.getContentDecoderFactories().clear();
-        } catch (Exception failure) {
-            throw new StartException("endpoint client: " + failure.getMessage(), failure);
-        }
+        HttpClients.start(client, "endpoint client");
     }
 
     @Override
     public void stop() {
-        try {
-            client.stop();
-        } catch (Exception failure) {
-            LOG.warn("endpoint client did not stop cleanly", failure);
-        }
+        HttpClients.stop(client, "endpoint client");
     }
 
     @Override
@@ -116,7 +92,7 @@
             }
         });
         request.send(new Listener(execution, listener));
-        return () -> request.abort(new AbortedException());
+        return () -> request.abort(new EndpointFailures.AbortedException());
     }
 
     private static final class Listener extends BufferingResponseListener {
@@ -158,20 +134,8 @@
 
         private EndpointAnswer failure(Result result) {
             Throwable cause = result.getFailure();
-            Ending ending;
-            if (result.getResponse() != null && isMismatched(result.getResponse())) {
-                ending = Ending.MISMATCHED;
-            } else if (cause instanceof AbortedException) {
-                ending = Ending.ABORTED;
-            } else if (cause instanceof TimeoutException) {
-                ending = Ending.TIMED_OUT;
-            } else if (cause instanceof ConnectException
-                    || cause instanceof SocketTimeoutException
-                    || cause instanceof RejectedExecutionException) {
-                ending = Ending.NOT_CONNECTED;
-            } else {
-                ending = Ending.BROKEN;
-            }
+            boolean mismatched = result.getResponse() != null && isMismatched(result.getResponse());
+            Ending ending = mismatched ? Ending.MISMATCHED : EndpointFailures.ending(cause);
             return EndpointAnswer.without(ending, String.valueOf(cause.getMessage()));
         }
     }
--- a/node/src/main/java/org/anvillatch/node/platform/HttpPlatformLog.java
+++ b/node/src/main/java/org/anvillatch/node/platform/HttpPlatformLog.java
@@ -53,20 +53,12 @@
 
     @Override
     public void start() throws StartException {
-        try {
-            client.start();
-        } catch (Exception failure) {
-            throw new StartException("log client for " + address + ": " + failure.getMessage(), failure);
-        }
+        HttpClients.start(client, "log client for " + address);
     }
 
     @Override
     public void stop() {
-        try {
-            client.stop();
-        } catch (Exception failure) {
-            LOG.warn("log client did not stop cleanly", failure);
-        }
+        HttpClients.stop(client, "log client for " + address);
     }
 
     @Override
