--- a/node/src/main/java/org/anvillatch/node/decisionlog/Decision.java
+++ b/node/src/main/java/org/anvillatch/node/decisionlog/Decision.java
@@ -40,4 +40,13 @@
         /** What the caller is told. */
         ANSWER
     }
+
+    /**
+     * Tells whether the decision lets its request go on as usual.
+     *
+     * @return false for refusals, failures and unknown outcomes
+     */
+    public boolean isRoutine() {
+        return result.equals("chosen") || result.equals("start") || result.startsWith("complete");
+    }
 }
--- a/node/src/main/java/org/anvillatch/node/decisionlog/DecisionLog.java
+++ b/node/src/main/java/org/anvillatch/node/decisionlog/DecisionLog.java
@@ -74,7 +74,9 @@
     }
 
     private final Format format;
+    private final LineSampler sampler = new LineSampler();
     private final Counter dropped;
+    private final Counter sampledOut;
     private final BlockingQueue<Decision> queue = new ArrayBlockingQueue<>(QUEUE_LENGTH);
     private final Deque<Decision> remembered = new ArrayDeque<>();
     private volatile boolean stopping;
@@ -89,6 +91,7 @@
     public DecisionLog(Format format, MetricRegistry metrics) {
         this.format = format;
         this.dropped = metrics.counter("log.dropped");
+        this.sampledOut = metrics.counter("log.sampled_out");
     }
 
     @Override
@@ -147,8 +150,12 @@
      * @param decision the decision
      */
     public void record(Decision decision) {
-        if (LINES.isInfoEnabled() && !queue.offer(decision)) {
-            dropped.inc();
+        if (LINES.isInfoEnabled() && sampler.keeps(decision)) {
+            if (!queue.offer(decision)) {
+                dropped.inc();
+            }
+        } else {
+            sampledOut.inc();
         }
         synchronized (remembered) {
             remembered.addLast(decision);
