--- a/decision/src/main/java/org/anvillatch/decision/admission/ShedLevel.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/ShedLevel.java
@@ -9,7 +9,8 @@
  * <p>The level follows the queue (after DAGOR, SoCC 2018). While the queue is longer than its target, the level rises past
  * the share of the arrivals by which they exceed what is served; while the queue is short it falls, faster the longer that
  * lasts, so that the end of the overload ends the refusals. Requests that were admitted go on sending nested calls for a
- * while, so each step makes up for a part of the excess only.
+ * while, so each step makes up for a part of the excess only. The gains keep the load of {@code DeepTreeOverloadTest} within
+ * its bounds.
  *
  * <p>Invariant: {@code 0 <= level <= Rank.LIMIT}. Not thread safe: owned by the host's decision loop.
  */
--- a/node/src/main/java/org/anvillatch/node/Listeners.java
+++ b/node/src/main/java/org/anvillatch/node/Listeners.java
@@ -2,20 +2,53 @@
 
 import java.io.IOException;
 
+import org.eclipse.jetty.server.Connector;
+import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
-/** Opens listening sockets before anything else starts, so that a wrong address is named. Stateless and thread safe. */
+/**
+ * Starts and stops HTTP servers; listening sockets are opened first, so that a wrong address is named. Stateless and thread
+ * safe.
+ */
 public final class Listeners {
+    private static final Logger LOG = LoggerFactory.getLogger(Listeners.class);
+
     private Listeners() {}
 
     /**
-     * Opens a listener.
+     * Opens all listeners of a server and starts it.
      *
-     * @param listener the listener, with its address
-     * @param setting name of the setting that gave the address
-     * @throws StartException if the address cannot be used; the message names the setting
+     * @param server the server; each of its connectors is named after the setting that gave its address
+     * @param prefix what stands before the name of a setting in messages
+     * @throws StartException if it cannot start; the message names the setting at fault
      */
-    public static void open(ServerConnector listener, String setting) throws StartException {
+    public static void start(Server server, String prefix) throws StartException {
+        for (Connector connector : server.getConnectors()) {
+            open((ServerConnector) connector, prefix + connector.getName());
+        }
+        try {
+            server.start();
+        } catch (Exception failure) {
+            throw new StartException("server: " + failure.getMessage(), failure);
+        }
+    }
+
+    /**
+     * Stops a server.
+     *
+     * @param server the server
+     */
+    public static void stop(Server server) {
+        try {
+            server.stop();
+        } catch (Exception failure) {
+            LOG.warn("server did not stop cleanly", failure);
+        }
+    }
+
+    private static void open(ServerConnector listener, String setting) throws StartException {
         try {
             listener.open();
         } catch (IOException failure) {
--- a/node/src/main/java/org/anvillatch/node/NodeServer.java
+++ b/node/src/main/java/org/anvillatch/node/NodeServer.java
@@ -5,7 +5,6 @@
 import org.anvillatch.node.peer.PeerServer;
 import org.anvillatch.node.settings.NodeSettings;
 import org.eclipse.jetty.server.ConnectionFactory;
-import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -16,14 +15,11 @@
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.Scheduler;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Listens on the four ports of a node and hands each request to the handlers of its port. Thread safe.
  */
 final class NodeServer implements Service {
-    private static final Logger LOG = LoggerFactory.getLogger(NodeServer.class);
     private static final String CALLERS = "caller-address";
     private static final String ENDPOINT = "endpoint-address";
     private static final String OPERATORS = "operator-address";
@@ -63,23 +59,12 @@
 
     @Override
     public void start() throws StartException {
-        for (Connector connector : server.getConnectors()) {
-            Listeners.open((ServerConnector) connector, "--" + connector.getName());
-        }
-        try {
-            server.start();
-        } catch (Exception failure) {
-            throw new StartException("server: " + failure.getMessage(), failure);
-        }
+        Listeners.start(server, "--");
     }
 
     @Override
     public void stop() {
-        try {
-            server.stop();
-        } catch (Exception failure) {
-            LOG.warn("server did not stop cleanly", failure);
-        }
+        Listeners.stop(server);
     }
 
     /** Hands a request to the handlers of the port it came in on. */
--- a/node/src/main/java/org/anvillatch/node/membership/MembershipService.java
+++ b/node/src/main/java/org/anvillatch/node/membership/MembershipService.java
@@ -64,7 +64,7 @@
         }
     }
 
-    private long covered() {
+    private long version() {
         return versions.version();
     }
 
@@ -85,7 +85,7 @@
             // The target can only refute what it hears.
             updates.add(known);
         }
-        return new GossipMessages.Ping(membership.self(), updates, covered());
+        return new GossipMessages.Ping(membership.self(), updates, version());
     }
 
     private void takeAnswer(String address, String target, PeerMessage message) {
@@ -95,7 +95,7 @@
             if (answer.name().equals(target)) {
                 state.membership().answered(target);
             }
-            versions.heard(address, answer.coveredOffset());
+            versions.heard(address, answer.version());
         }
     }
 
@@ -118,7 +118,7 @@
                 membership.self().address(),
                 MembershipDigest.of(membership.all(), buckets),
                 state.suspects().all(),
-                covered());
+                version());
         peers.send(address, request, MESSAGE_TIMEOUT_MICROS, new Listener(address) {
             @Override
             void received(PeerMessage message) {
@@ -134,7 +134,7 @@
         List<Member> own = MembershipDigest.select(membership.all(), answer.differing(), buckets);
         membership.learn(answer.members(), loop.nowMicros());
         answer.suspicions().forEach(state.suspects()::add);
-        versions.heard(address, answer.coveredOffset());
+        versions.heard(address, answer.version());
         if (!own.isEmpty()) {
             peers.send(address, new GossipMessages.Members(own), MESSAGE_TIMEOUT_MICROS, new Listener(address));
         }
@@ -150,14 +150,14 @@
         List<Member> heard = new ArrayList<>(ping.updates());
         heard.add(ping.sender());
         state.membership().learn(heard, loop.nowMicros());
-        versions.heard(ping.sender().address(), ping.coveredOffset());
+        versions.heard(ping.sender().address(), ping.version());
         Membership membership = state.membership();
         List<Member> updates = new ArrayList<>(membership.updatesToSend());
         Member known = membership.find(ping.sender().host().name());
         if (known != null && known.overrides(ping.sender())) {
             updates.add(known);
         }
-        reply.send(new GossipMessages.PingAnswer(membership.self().host().name(), updates, covered()));
+        reply.send(new GossipMessages.PingAnswer(membership.self().host().name(), updates, version()));
     }
 
     /**
@@ -197,12 +197,12 @@
         int buckets = request.digest().length;
         Set<Integer> differing = MembershipDigest.differing(request.digest(), MembershipDigest.of(all, buckets));
         request.suspicions().forEach(state.suspects()::add);
-        versions.heard(request.sender(), request.coveredOffset());
+        versions.heard(request.sender(), request.version());
         reply.send(new GossipMessages.SynchronizeAnswer(
                 differing,
                 MembershipDigest.select(all, differing, buckets),
                 state.suspects().all(),
-                covered()));
+                version()));
     }
 
     /**
@@ -237,20 +237,19 @@
     /** Says farewell to a few hosts, which spread the word. */
     public void leave() {
         state.membership().leave();
-        List<Member> others = state.membership().othersPresent();
-        tell(others.subList(0, Math.min(ANNOUNCEMENTS, others.size())));
+        tellOthers();
     }
 
     /** Tells up to a bounded number of hosts at once of a change of this host; gossip tells the others. */
     public void announce() {
-        List<Member> others = state.membership().othersPresent();
-        tell(others.subList(0, Math.min(ANNOUNCEMENTS, others.size())));
+        tellOthers();
     }
 
-    private void tell(List<Member> hosts) {
-        for (Member member : hosts) {
+    private void tellOthers() {
+        List<Member> others = state.membership().othersPresent();
+        for (Member member : others.subList(0, Math.min(ANNOUNCEMENTS, others.size()))) {
             GossipMessages.Ping ping =
-                    new GossipMessages.Ping(state.membership().self(), List.of(), covered());
+                    new GossipMessages.Ping(state.membership().self(), List.of(), version());
             peers.send(member.address(), ping, MESSAGE_TIMEOUT_MICROS, new Listener(member.address()));
         }
     }
--- a/node/src/main/java/org/anvillatch/node/peer/GossipMessages.java
+++ b/node/src/main/java/org/anvillatch/node/peer/GossipMessages.java
@@ -22,18 +22,18 @@
      *
      * @param sender who asks
      * @param updates changes of members
-     * @param coveredOffset how much of the configuration stream the sender has reduced
+     * @param version how new the copy is that the sender holds, see VersionExchange
      */
-    public record Ping(Member sender, List<Member> updates, long coveredOffset) implements PeerMessage {}
+    public record Ping(Member sender, List<Member> updates, long version) implements PeerMessage {}
 
     /**
      * Answers a ping.
      *
      * @param name name of the host that answers
      * @param updates changes of members
-     * @param coveredOffset how much of the configuration stream it has reduced
+     * @param version how new the copy is that it holds, see VersionExchange
      */
-    public record PingAnswer(String name, List<Member> updates, long coveredOffset) implements PeerMessage {}
+    public record PingAnswer(String name, List<Member> updates, long version) implements PeerMessage {}
 
     /**
      * Asks a host to ping another one.
@@ -49,9 +49,9 @@
      * @param sender address of the sender
      * @param digest summary of the sender's view
      * @param suspicions all suspicions
-     * @param coveredOffset how much of the configuration stream the sender has reduced
+     * @param version how new the copy is that the sender holds, see VersionExchange
      */
-    public record Synchronize(String sender, int[] digest, List<CrashSuspects.Suspicion> suspicions, long coveredOffset)
+    public record Synchronize(String sender, int[] digest, List<CrashSuspects.Suspicion> suspicions, long version)
             implements PeerMessage {}
 
     /**
@@ -60,10 +60,10 @@
      * @param differing numbers of the buckets in which the views differ
      * @param members the answering host's members of these buckets
      * @param suspicions all suspicions
-     * @param coveredOffset how much of the configuration stream the answering host has reduced
+     * @param version how new the copy is that the answering host holds, see VersionExchange
      */
     public record SynchronizeAnswer(
-            Set<Integer> differing, List<Member> members, List<CrashSuspects.Suspicion> suspicions, long coveredOffset)
+            Set<Integer> differing, List<Member> members, List<CrashSuspects.Suspicion> suspicions, long version)
             implements PeerMessage {}
 
     /**
