Limit the trees that run at a time by the time that their calls wait for slots

Shed levels react to its queue, but 400 ms late, and swing between nothing and everything. 10,105 of 15,556 runs of the first service ended badly. Change: each answer carries how long the call and those below it waited; the gatekeeper of a root request limits the trees of an operation by that share (additive increase, multiplicative decrease), lesser importance first. Root queues follow these limits.

--- a/decision/src/main/java/org/anvillatch/decision/admission/AdmissionQueue.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/AdmissionQueue.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 
 /**
  * Bounded queue of work that waits for a slot, highest rank first and oldest first within a rank.
@@ -63,15 +64,17 @@
     /**
      * Takes the work to run next.
      *
-     * @return the highest rank, or empty if nothing waits
+     * @param mayRun what can run now
+     * @return the highest rank of what can run, or empty if nothing that waits can
      */
-    public Optional<Waiting> poll() {
-        Waiting first = waiting.pollFirst();
-        if (first != null) {
-            roots.remove(first);
-            byExecution.remove(first.work().execution());
+    public Optional<Waiting> poll(Predicate<Work> mayRun) {
+        for (Waiting entry : waiting) {
+            if (mayRun.test(entry.work())) {
+                remove(entry.work().execution());
+                return Optional.of(entry);
+            }
         }
-        return Optional.ofNullable(first);
+        return Optional.empty();
     }
 
     /**
@@ -119,6 +122,15 @@
         return all;
     }
 
+    /**
+     * Returns how many requests wait that are not nested.
+     *
+     * @return at least 0
+     */
+    public int roots() {
+        return roots.size();
+    }
+
     /**
      * Returns how many requests wait.
      *
--- a/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
@@ -1,6 +1,7 @@
 package org.anvillatch.decision.admission;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -10,6 +11,7 @@
 
 import org.anvillatch.decision.drain.EndpointPhase;
 import org.anvillatch.decision.model.OperationName;
+import org.anvillatch.decision.model.Rank;
 import org.anvillatch.decision.model.RefusalReason;
 
 /**
@@ -31,16 +33,24 @@
     public static final int NESTED_QUEUE_FACTOR = 6;
 
     private static final int LEAST_QUEUE = 4;
+
+    /** Part of the usual execution that must be left for work to begin; with less it will not finish in time. */
+    private static final double NEEDED_SHARE = 0.8;
+
     private static final double LATENCY_WEIGHT = 0.1;
 
     private final AdmissionFeatures features;
     private final AdmissionQueue queue = new AdmissionQueue();
     private final ShedLevel shedLevel = new ShedLevel();
     private final Set<Long> running = new HashSet<>();
+    private final Map<Long, Work> rootsRunning = new HashMap<>();
+    private final Map<OperationName, Integer> runningByOperation = new HashMap<>();
+    private final Map<OperationName, TreeLimit> treeLimits = new HashMap<>();
     private final DownstreamLevels downstream = new DownstreamLevels();
     private final Map<OperationName, Double> latencyMicros = new HashMap<>();
     private ConcurrencyLimit limit = new ConcurrencyLimit(1);
     private EndpointPhase phase = EndpointPhase.ABSENT;
+    private List<Integer> importances = List.of();
 
     /**
      * Creates a gatekeeper without an endpoint.
@@ -58,9 +68,19 @@
      */
     public void announced(int slots) {
         limit = new ConcurrencyLimit(slots);
+        treeLimits.clear();
         phase = EndpointPhase.SERVING;
     }
 
+    /**
+     * Sets the importances that are in use, so that the most and the least important can be told.
+     *
+     * @param inUse importances of all routes
+     */
+    public void importances(Collection<Integer> inUse) {
+        importances = inUse.stream().distinct().sorted().toList();
+    }
+
     /**
      * Changes the phase; work that waits is refused if the new phase takes no new work.
      *
@@ -91,7 +111,7 @@
         if (!phase.takesNewWork()) {
             return List.of(refuse(work, phaseReason(), nowMicros));
         }
-        shedLevel.advance(queue.size(), queueTarget(), nowMicros);
+        advanceLevel(nowMicros);
         shedLevel.arrived(work.rank());
         if (isDoomed(work, nowMicros)) {
             return List.of(refuse(work, RefusalReason.DEADLINE, nowMicros));
@@ -100,15 +120,14 @@
         if (features.shedLevels() && excluded && !work.nested()) {
             return List.of(refuse(work, RefusalReason.OVERLOAD, nowMicros));
         }
-        if (running.size() < limit.limit() && queue.size() == 0) {
-            running.add(work.execution());
-            return List.of(new AdmissionAction.Start(work.execution()));
+        if (running.size() < limit.limit() && queue.size() == 0 && fitsTreeLimit(work)) {
+            return List.of(begin(work));
         }
         return enqueue(work, nowMicros);
     }
 
     private List<AdmissionAction> enqueue(Work work, long nowMicros) {
-        Optional<Work> evicted = queue.add(work, rootQueue(), NESTED_QUEUE_FACTOR * rootQueue(), nowMicros);
+        Optional<Work> evicted = queue.add(work, rootQueue(), capacity(), nowMicros);
         List<AdmissionAction> actions = new ArrayList<>();
         evicted.ifPresent(lowest -> actions.add(refuse(lowest, RefusalReason.OVERLOAD, nowMicros)));
         actions.addAll(startWaiting(nowMicros));
@@ -122,16 +141,29 @@
      * @param ending how it ended
      * @param durationMicros how long it ran
      * @param operation the operation that ran
+     * @param below what its nested calls have met
      * @param nowMicros current time
      * @return starts and refusals of work that waited
      */
     public List<AdmissionAction> finished(
-            long execution, ExecutionEnding ending, long durationMicros, OperationName operation, long nowMicros) {
+            long execution,
+            ExecutionEnding ending,
+            long durationMicros,
+            OperationName operation,
+            NestedWait below,
+            long nowMicros) {
         if (!running.remove(execution)) {
             return List.of();
         }
+        Work root = rootsRunning.remove(execution);
+        if (root != null) {
+            int concurrent = runningByOperation.merge(operation, -1, Integer::sum) + 1;
+            if (ending != ExecutionEnding.CANCELLED) {
+                treeLimit(operation).ended(concurrent, durationMicros, below, place(root.rank()), nowMicros);
+            }
+        }
         shedLevel.ended();
-        shedLevel.advance(queue.size(), queueTarget(), nowMicros);
+        advanceLevel(nowMicros);
         if (ending == ExecutionEnding.ANSWERED) {
             limit.succeeded();
             latencyMicros.merge(
@@ -163,7 +195,7 @@
      * @return refusals of overdue work and starts of work that fits
      */
     public List<AdmissionAction> tick(long nowMicros) {
-        shedLevel.advance(queue.size(), queueTarget(), nowMicros);
+        advanceLevel(nowMicros);
         List<AdmissionAction> actions = new ArrayList<>();
         for (Work work : queue.removeOverdue(nowMicros)) {
             actions.add(refuse(work, RefusalReason.DEADLINE, nowMicros));
@@ -211,7 +243,7 @@
     private List<AdmissionAction> startWaiting(long nowMicros) {
         List<AdmissionAction> actions = new ArrayList<>();
         while (phase.takesNewWork() && running.size() < limit.limit()) {
-            Optional<AdmissionQueue.Waiting> next = queue.poll();
+            Optional<AdmissionQueue.Waiting> next = queue.poll(this::fitsTreeLimit);
             if (next.isEmpty()) {
                 return actions;
             }
@@ -224,13 +256,41 @@
         if (isDoomed(next.work(), nowMicros)) {
             return refuse(next.work(), RefusalReason.DEADLINE, nowMicros);
         }
-        running.add(next.work().execution());
-        return new AdmissionAction.Start(next.work().execution());
+        return begin(next.work());
+    }
+
+    private AdmissionAction begin(Work work) {
+        running.add(work.execution());
+        if (!work.nested()) {
+            rootsRunning.put(work.execution(), work);
+            runningByOperation.merge(work.operation(), 1, Integer::sum);
+        }
+        return new AdmissionAction.Start(work.execution());
+    }
+
+    /** Nested work belongs to a tree that was admitted already. */
+    private boolean fitsTreeLimit(Work work) {
+        return work.nested()
+                || runningByOperation.getOrDefault(work.operation(), 0)
+                        < treeLimit(work.operation()).limit();
+    }
+
+    private TreeLimit treeLimit(OperationName operation) {
+        return treeLimits.computeIfAbsent(operation, name -> new TreeLimit(limit.slots()));
+    }
+
+    /** Place of a rank's importance among those in use, 0 for the least and 1 for the highest. */
+    private double place(int rank) {
+        int importance = Rank.importance(rank);
+        int index = importances.indexOf(importance);
+        return index < 0 || importances.size() < 2
+                ? (double) importance / (Rank.IMPORTANCES - 1)
+                : (double) index / (importances.size() - 1);
     }
 
     private boolean isDoomed(Work work, long nowMicros) {
         double expected = features.dropDoomed() ? latencyMicros.getOrDefault(work.operation(), 0.0) : 0;
-        return work.deadlineMicros() - nowMicros <= expected / 2;
+        return work.deadlineMicros() - nowMicros <= expected * NEEDED_SHARE;
     }
 
     private AdmissionAction refuse(Work work, RefusalReason reason, long nowMicros) {
@@ -244,12 +304,32 @@
                 : RefusalReason.DRAINING;
     }
 
-    private int queueTarget() {
-        return (int) Math.ceil(limit.limit() * QUEUE_SHARE);
+    /** The level follows the queue that is longer for its capacity: that of root requests or that of all work. */
+    private void advanceLevel(long nowMicros) {
+        int rootTarget = queueTarget(rootCapacity());
+        int target = queueTarget(limit.limit());
+        boolean rootsLonger = (long) queue.roots() * target > (long) queue.size() * rootTarget;
+        shedLevel.advance(rootsLonger ? queue.roots() : queue.size(), rootsLonger ? rootTarget : target, nowMicros);
+    }
+
+    private static int queueTarget(int capacity) {
+        return (int) Math.ceil(capacity * QUEUE_SHARE);
+    }
+
+    private int rootCapacity() {
+        int sum = 0;
+        for (TreeLimit treeLimit : treeLimits.values()) {
+            sum += treeLimit.limit();
+        }
+        return sum == 0 ? limit.limit() : Math.min(limit.limit(), sum);
     }
 
     private int rootQueue() {
-        return Math.max(LEAST_QUEUE, (int) (limit.limit() * ROOT_QUEUE_SHARE));
+        return Math.max(LEAST_QUEUE, (int) (rootCapacity() * ROOT_QUEUE_SHARE));
+    }
+
+    private int capacity() {
+        return NESTED_QUEUE_FACTOR * Math.max(LEAST_QUEUE, (int) (limit.limit() * ROOT_QUEUE_SHARE));
     }
 
     /**
--- /dev/null
+++ b/decision/src/main/java/org/anvillatch/decision/admission/TreeLimit.java
@@ -0,0 +1,84 @@
+package org.anvillatch.decision.admission;
+
+/**
+ * How many root requests of one operation may run at a time at one endpoint. A request whose nested calls wait long for slots
+ * elsewhere shows that a service below is full; the fewer trees run then, the less work is wasted on those that cannot finish.
+ * Additive increase, multiplicative decrease on the share of time that the trees spend waiting.
+ *
+ * <p>Invariant: {@code LEAST <= limit <= slots}. Not thread safe: owned by the host's decision loop.
+ */
+final class TreeLimit {
+    /** Requests that always may run, so that an operation can show that its calls no longer wait. */
+    static final int LEAST = 2;
+
+    /** Waiting time, as a share of the time spent working, that the least important requests tolerate. */
+    static final double LEAST_WAIT = 0.15;
+
+    /** The same for the most important requests, which give way last. */
+    static final double MOST_WAIT = 0.5;
+
+    private static final double COLD_SHARE = 0.25;
+    private static final double DECREASE_FACTOR = 0.85;
+    private static final double INCREASE = 2;
+
+    /** Weight of one ended request in the share of waiting. */
+    private static final double WEIGHT = 0.1;
+
+    /** Share of waiting that a request counts with if a nested call of it was refused. */
+    private static final double REFUSED_WAIT = 2;
+
+    /** Part of the limit that must be in use for it to grow. */
+    private static final double USED = 0.75;
+
+    private final int slots;
+    private double limit;
+    private double waitShare;
+    private double meanMicros;
+    private boolean probing = true;
+    private long nextDecreaseMicros;
+
+    TreeLimit(int slots) {
+        this.slots = Math.max(LEAST, slots);
+        this.limit = Math.max(LEAST, slots * COLD_SHARE);
+    }
+
+    /**
+     * Learns how a request ended.
+     *
+     * @param running requests of the operation that ran, this one included
+     * @param durationMicros how long it ran
+     * @param below what its nested calls met
+     * @param importance place among all importances, 0 for the least and 1 for the highest
+     * @param nowMicros current time
+     */
+    void ended(int running, long durationMicros, NestedWait below, double importance, long nowMicros) {
+        double worked = Math.max(1, durationMicros - below.waitedMicros());
+        double share = below.refused() ? REFUSED_WAIT : Math.min(REFUSED_WAIT, below.waitedMicros() / worked);
+        waitShare += (share - waitShare) * WEIGHT;
+        meanMicros += (durationMicros - meanMicros) * (meanMicros == 0 ? 1 : WEIGHT);
+        double tolerated = LEAST_WAIT + (MOST_WAIT - LEAST_WAIT) * importance;
+        if (waitShare > tolerated) {
+            decrease(nowMicros);
+        } else if (running >= limit * USED) {
+            limit = Math.min(slots, limit + (probing ? 1 : INCREASE / limit));
+        }
+    }
+
+    /** One decrease for each generation of requests: those that run already still meet the old limit. */
+    private void decrease(long nowMicros) {
+        probing = false;
+        if (nowMicros >= nextDecreaseMicros) {
+            nextDecreaseMicros = nowMicros + (long) meanMicros;
+            limit = Math.max(LEAST, limit * DECREASE_FACTOR);
+        }
+    }
+
+    /**
+     * Returns the limit.
+     *
+     * @return requests that may run at a time
+     */
+    int limit() {
+        return (int) limit;
+    }
+}
--- a/decision/src/test/java/org/anvillatch/decision/admission/DeepTreeOverloadTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/admission/DeepTreeOverloadTest.java
@@ -40,6 +40,7 @@
     private int wholeTrees;
     private int importantOffered;
     private int importantWhole;
+    private double slowness = 1;
 
     private record Event(long atMicros, Runnable action) {}
 
@@ -48,6 +49,9 @@
         private final int rank;
         private final long deadlineMicros;
         private int callsLeft = CALLS;
+        private long startedMicros;
+        private long offeredMicros;
+        private NestedWait below = NestedWait.NONE;
 
         private Tree(long execution, int rank, long deadlineMicros) {
             this.execution = execution;
@@ -76,13 +80,18 @@
             boolean starts = action instanceof AdmissionAction.Start;
             if (gatekeeper == top && starts) {
                 startedTrees += now > ONSET_MICROS ? 1 : 0;
+                trees.get(action.execution()).startedMicros = now;
                 call(trees.get(action.execution()));
             } else if (starts) {
                 long execution = action.execution();
-                long duration = (long) (CALL_MICROS * (0.5 + random.nextDouble()));
+                Tree tree = byCall.get(execution);
+                tree.below = tree.below.plus(now - tree.offeredMicros, false);
+                long duration = (long) (slowness * CALL_MICROS * (0.5 + random.nextDouble()));
                 events.add(new Event(now + duration, () -> callEnded(execution, duration)));
             } else if (gatekeeper == bottom) {
-                endTree(byCall.remove(action.execution()), ExecutionEnding.ANSWERED);
+                Tree tree = byCall.remove(action.execution());
+                tree.below = tree.below.plus(now - tree.offeredMicros, true);
+                endTree(tree, ExecutionEnding.ANSWERED);
             }
         }
     }
@@ -90,13 +99,15 @@
     private void call(Tree tree) {
         long execution = nextExecution++;
         byCall.put(execution, tree);
+        tree.offeredMicros = now;
         perform(bottom, bottom.offer(new Work(execution, CALL, tree.rank, tree.deadlineMicros, true), now));
     }
 
     private void callEnded(long execution, long duration) {
         Tree tree = byCall.remove(execution);
         top.downstreamLevel(ROOT, CALL, bottom.levelFor(CALL, now), now);
-        List<AdmissionAction> next = bottom.finished(execution, ExecutionEnding.ANSWERED, duration, CALL, now);
+        List<AdmissionAction> next =
+                bottom.finished(execution, ExecutionEnding.ANSWERED, duration, CALL, NestedWait.NONE, now);
         tree.callsLeft--;
         if (now > tree.deadlineMicros) {
             endTree(tree, ExecutionEnding.TIMED_OUT);
@@ -112,7 +123,7 @@
 
     private void endTree(Tree tree, ExecutionEnding ending) {
         trees.remove(tree.execution);
-        perform(top, top.finished(tree.execution, ending, CALLS * CALL_MICROS, ROOT, now));
+        perform(top, top.finished(tree.execution, ending, now - tree.startedMicros, ROOT, tree.below, now));
     }
 
     private void tick() {
@@ -142,4 +153,15 @@
         assertThat(goodput).isGreaterThan(0.85);
         assertThat((double) importantWhole / importantOffered).isGreaterThan(0.95);
     }
+
+    /** The scarce service becomes twice as slow for some seconds: no more trees may begin than it can finish. */
+    @Test
+    void treesThatBeginAreFinishedWhileTheScarceServiceIsSlow() {
+        events.add(new Event(8_000_000, () -> slowness = 2));
+        events.add(new Event(14_000_000, () -> slowness = 1));
+        run();
+        double wasted = 1 - (double) wholeTrees / startedTrees;
+        assertThat(wasted).isLessThan(0.1);
+        assertThat((double) importantWhole / importantOffered).isGreaterThan(0.85);
+    }
 }
--- a/decision/src/test/java/org/anvillatch/decision/admission/GatekeeperProperties.java
+++ b/decision/src/test/java/org/anvillatch/decision/admission/GatekeeperProperties.java
@@ -97,7 +97,8 @@
                             .ifPresent(execution -> {
                                 running.remove(execution);
                                 ended.add(execution);
-                                take(gatekeeper.finished(execution, ExecutionEnding.ANSWERED, 1_000, OPERATION, now));
+                                take(gatekeeper.finished(
+                                        execution, ExecutionEnding.ANSWERED, 1_000, OPERATION, NestedWait.NONE, now));
                             });
                 case CANCEL -> take(gatekeeper.cancel(Math.max(1, next - event.pick() % 5), now));
                 case TICK -> take(gatekeeper.tick(now));
--- a/decision/src/test/java/org/anvillatch/decision/admission/GatekeeperTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/admission/GatekeeperTest.java
@@ -62,7 +62,8 @@
         fillSlots(1);
         gatekeeper.offer(work(1, BULK), 0);
         gatekeeper.offer(work(2, IMPORTANT), 0);
-        List<AdmissionAction> actions = gatekeeper.finished(1_000, ExecutionEnding.CANCELLED, 100, OPERATION, 200);
+        List<AdmissionAction> actions =
+                gatekeeper.finished(1_000, ExecutionEnding.CANCELLED, 100, OPERATION, NestedWait.NONE, 200);
         assertThat(actions).containsExactly(new AdmissionAction.Start(2));
     }
 
@@ -73,7 +74,7 @@
         gatekeeper.offer(work(1, IMPORTANT), 0);
         List<AdmissionAction> actions = gatekeeper.enter(EndpointPhase.LEAVING, 10);
         assertThat(actions).containsExactly(new AdmissionAction.Refuse(1, RefusalReason.DRAINING, 0));
-        assertThat(gatekeeper.finished(1_000, ExecutionEnding.ANSWERED, 100, OPERATION, 200))
+        assertThat(gatekeeper.finished(1_000, ExecutionEnding.ANSWERED, 100, OPERATION, NestedWait.NONE, 200))
                 .isEmpty();
         assertThat(gatekeeper.offer(work(2, IMPORTANT), 300))
                 .containsExactly(new AdmissionAction.Refuse(2, RefusalReason.DRAINING, 0));
@@ -83,7 +84,7 @@
     void dropsWorkThatCannotFinishInTime() {
         gatekeeper.announced(4);
         gatekeeper.offer(work(1, IMPORTANT), 0);
-        gatekeeper.finished(1, ExecutionEnding.ANSWERED, 100_000, OPERATION, 100_000);
+        gatekeeper.finished(1, ExecutionEnding.ANSWERED, 100_000, OPERATION, NestedWait.NONE, 100_000);
         List<AdmissionAction> actions = gatekeeper.offer(new Work(2, OPERATION, IMPORTANT, 120_000), 100_000);
         assertThat(actions).containsExactly(new AdmissionAction.Refuse(2, RefusalReason.DEADLINE, 0));
     }
@@ -95,7 +96,7 @@
         long now = 0;
         for (int execution = 0; execution < 40; execution++) {
             gatekeeper.offer(work(execution, IMPORTANT), now);
-            gatekeeper.finished(execution, ExecutionEnding.ANSWERED, 10, OPERATION, now);
+            gatekeeper.finished(execution, ExecutionEnding.ANSWERED, 10, OPERATION, NestedWait.NONE, now);
         }
         assertThat(gatekeeper.status().limit()).isEqualTo(40);
     }
@@ -106,11 +107,11 @@
         long now = 1_000_000;
         for (int execution = 0; execution < 10; execution++) {
             gatekeeper.offer(work(execution, IMPORTANT), now);
-            gatekeeper.finished(execution, ExecutionEnding.ANSWERED, 10, OPERATION, now);
+            gatekeeper.finished(execution, ExecutionEnding.ANSWERED, 10, OPERATION, NestedWait.NONE, now);
         }
         int before = gatekeeper.status().limit();
         gatekeeper.offer(work(50, IMPORTANT), now);
-        gatekeeper.finished(50, ExecutionEnding.REJECTED, 10, OPERATION, now);
+        gatekeeper.finished(50, ExecutionEnding.REJECTED, 10, OPERATION, NestedWait.NONE, now);
         assertThat(gatekeeper.status().limit()).isLessThan(before);
     }
 
@@ -121,12 +122,12 @@
         for (int execution = 0; execution < 200; execution++) {
             now += 100_000;
             gatekeeper.offer(new Work(execution, OPERATION, IMPORTANT, now + FAR), now);
-            gatekeeper.finished(execution, ExecutionEnding.TIMED_OUT, 10, OPERATION, now);
+            gatekeeper.finished(execution, ExecutionEnding.TIMED_OUT, 10, OPERATION, NestedWait.NONE, now);
         }
         int slow = gatekeeper.status().limit();
         for (int execution = 200; execution < 230; execution++) {
             gatekeeper.offer(new Work(execution, OPERATION, IMPORTANT, now + FAR), now);
-            gatekeeper.finished(execution, ExecutionEnding.ANSWERED, 10, OPERATION, now);
+            gatekeeper.finished(execution, ExecutionEnding.ANSWERED, 10, OPERATION, NestedWait.NONE, now);
         }
         assertThat(slow).isEqualTo(10);
         assertThat(gatekeeper.status().limit()).isEqualTo(40);
--- a/node/src/main/java/org/anvillatch/node/call/CallAnswer.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallAnswer.java
@@ -41,10 +41,11 @@
      * @param level lowest rank admitted for the operation
      * @param busy executions that run or wait
      * @param durationMicros how long the execution took, 0 if it did not run
+     * @param waitedMicros how long the call and the calls below it waited for slots
      */
-    public record LoadReport(int level, int busy, long durationMicros) {
+    public record LoadReport(int level, int busy, long durationMicros, long waitedMicros) {
         /** Nothing is known. */
-        public static final LoadReport NONE = new LoadReport(0, 0, 0);
+        public static final LoadReport NONE = new LoadReport(0, 0, 0, 0);
     }
 
     /**
--- a/node/src/main/java/org/anvillatch/node/call/CallRouter.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallRouter.java
@@ -171,7 +171,7 @@
         private void refuse(RefusalReason reason, int level) {
             record("", "refuse", reason.wireName(), level);
             String detail = "no endpoint of " + call.operation().service() + " accepts the call: " + reason.wireName();
-            CallAnswer.LoadReport report = new CallAnswer.LoadReport(level, 0, 0);
+            CallAnswer.LoadReport report = new CallAnswer.LoadReport(level, 0, 0, 0);
             end(CallAnswer.refused(reason, detail, report, budget.remaining(), ""));
         }
 
--- a/node/src/main/java/org/anvillatch/node/call/Gatekeeping.java
+++ b/node/src/main/java/org/anvillatch/node/call/Gatekeeping.java
@@ -16,8 +16,10 @@
 import org.anvillatch.decision.admission.ExecutionEnding;
 import org.anvillatch.decision.admission.Gatekeeper;
 import org.anvillatch.decision.admission.GatekeeperStatus;
+import org.anvillatch.decision.admission.NestedWait;
 import org.anvillatch.decision.admission.Work;
 import org.anvillatch.decision.drain.EndpointPhase;
+import org.anvillatch.decision.model.OperationName;
 import org.anvillatch.decision.model.Outcome;
 import org.anvillatch.decision.model.RefusalReason;
 import org.anvillatch.decision.quarantine.CrashSuspects;
@@ -101,6 +103,7 @@
         private final long number;
         private final DispatchMessage message;
         private final Consumer<CallAnswer> reply;
+        private final long arrivedMicros;
         private final long deadlineMicros;
         private final RetryBudget budget;
         private final Set<String> nestedNumbers = new HashSet<>();
@@ -109,11 +112,13 @@
         private long startedMicros;
         private boolean started;
         private int nestedCount;
+        private NestedWait below = NestedWait.NONE;
 
         private Execution(long number, DispatchMessage message, Consumer<CallAnswer> reply, long nowMicros) {
             this.number = number;
             this.message = message;
             this.reply = reply;
+            this.arrivedMicros = nowMicros;
             this.deadlineMicros = nowMicros + message.remainingMicros();
             this.budget = new RetryBudget(Math.max(0, message.retries()));
         }
@@ -350,7 +355,8 @@
         record(execution, "refuse", reason.wireName(), level);
         metrics.counter("gatekeeper.refused." + reason.wireName()).inc();
         String host = state.membership().self().host().name();
-        CallAnswer.LoadReport report = new CallAnswer.LoadReport(level, busy(), 0);
+        long waited = loop.nowMicros() - execution.arrivedMicros;
+        CallAnswer.LoadReport report = new CallAnswer.LoadReport(level, busy(), 0, waited);
         String detail = "host " + host + " refuses: " + reason.wireName();
         execution.reply.accept(CallAnswer.refused(reason, detail, report, execution.budget.remaining(), host));
     }
@@ -366,7 +372,13 @@
         long now = loop.nowMicros();
         long duration = now - execution.startedMicros;
         List<AdmissionAction> next = state.gatekeeper()
-                .finished(execution.number, ending(answer.ending()), duration, execution.message.operation(), now);
+                .finished(
+                        execution.number,
+                        ending(answer.ending()),
+                        duration,
+                        execution.message.operation(),
+                        execution.below,
+                        now);
         List<CrashSuspects.Suspicion> suspicions = List.of();
         if (answer.ending() == EndpointPort.Ending.BROKEN) {
             suspicions = endpointBroke(execution, now);
@@ -380,6 +392,21 @@
         perform(next);
     }
 
+    /**
+     * Learns what a nested call has met.
+     *
+     * @param parent the execution that made the call
+     * @param called the operation that was called
+     * @param answer the call's answer
+     */
+    public void nestedEnded(Execution parent, OperationName called, CallAnswer answer) {
+        boolean refused = answer.reason() == RefusalReason.OVERLOAD || answer.reason() == RefusalReason.DEADLINE;
+        parent.below = parent.below.plus(answer.report().waitedMicros(), refused);
+        state.gatekeeper()
+                .downstreamLevel(
+                        parent.message.operation(), called, answer.report().level(), loop.nowMicros());
+    }
+
     private static ExecutionEnding ending(EndpointPort.Ending ending) {
         return switch (ending) {
             case ANSWERED -> ExecutionEnding.ANSWERED;
@@ -461,7 +488,8 @@
         String host = state.membership().self().host().name();
         int level = state.gatekeeper().levelFor(execution.message.operation(), loop.nowMicros());
         int unspent = execution.budget.remaining();
-        CallAnswer.LoadReport report = new CallAnswer.LoadReport(level, busy(), duration);
+        long waited = execution.startedMicros - execution.arrivedMicros + execution.below.waitedMicros();
+        CallAnswer.LoadReport report = new CallAnswer.LoadReport(level, busy(), duration, waited);
         return switch (answer.ending()) {
             case ANSWERED -> {
                 Outcome outcome = answer.status() >= SERVER_ERROR ? Outcome.FAILED : Outcome.COMPLETE;
--- a/node/src/main/java/org/anvillatch/node/caller/CallHandler.java
+++ b/node/src/main/java/org/anvillatch/node/caller/CallHandler.java
@@ -276,12 +276,7 @@
         timer.update(System.nanoTime() - startedNanos, TimeUnit.NANOSECONDS);
         if (parent != null) {
             parent.budget().giveBack(answer.unspentRetries());
-            state.gatekeeper()
-                    .downstreamLevel(
-                            parent.message().operation(),
-                            call.operation(),
-                            answer.report().level(),
-                            loop.nowMicros());
+            gatekeeping.nestedEnded(parent, call.operation(), answer);
         }
         record(call, answer);
         HttpAnswers.call(exchange.response(), call.context().root(), answer, exchange.callback());
--- a/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
+++ b/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
@@ -88,7 +88,8 @@
             packer.packInt(answer.unspentRetries())
                     .packInt(answer.report().level())
                     .packInt(answer.report().busy())
-                    .packLong(answer.report().durationMicros());
+                    .packLong(answer.report().durationMicros())
+                    .packLong(answer.report().waitedMicros());
             pack(packer, answer.firstOutcome());
             packer.packString(answer.host()).packString(answer.detail());
             packer.packArrayHeader(answer.suspicions().size());
@@ -107,8 +108,8 @@
             int status = unpacker.unpackInt();
             CallBody body = body(unpacker);
             int unspent = unpacker.unpackInt();
-            CallAnswer.LoadReport report =
-                    new CallAnswer.LoadReport(unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackLong());
+            CallAnswer.LoadReport report = new CallAnswer.LoadReport(
+                    unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackLong(), unpacker.unpackLong());
             Outcome first = constant(unpacker, Outcome.values());
             String host = unpacker.unpackString();
             String detail = unpacker.unpackString();
--- a/node/src/main/java/org/anvillatch/node/routes/RouteTableService.java
+++ b/node/src/main/java/org/anvillatch/node/routes/RouteTableService.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 
+import org.anvillatch.decision.routing.RequestRoute;
 import org.anvillatch.decision.routing.RouteTable;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
@@ -74,6 +75,9 @@
                 source,
                 table.routes().size(),
                 loop.nowMicros());
+        state.gatekeeper()
+                .importances(
+                        table.routes().stream().map(RequestRoute::importance).toList());
         changeListeners.forEach(Runnable::run);
     }
 
--- a/testbed/src/main/java/org/anvillatch/testbed/capacity/CapacityMain.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/capacity/CapacityMain.java
@@ -10,6 +10,7 @@
 import org.anvillatch.decision.admission.AdmissionFeatures;
 import org.anvillatch.decision.admission.ExecutionEnding;
 import org.anvillatch.decision.admission.Gatekeeper;
+import org.anvillatch.decision.admission.NestedWait;
 import org.anvillatch.decision.admission.Work;
 import org.anvillatch.decision.configuration.Configuration;
 import org.anvillatch.decision.configuration.ConfigurationChange;
@@ -262,7 +263,7 @@
             for (int round = 0; round < ROUNDS * 5; round++) {
                 long now = round * 1_000L;
                 gatekeeper.offer(new Work(round, operation, random.nextInt(Rank.LIMIT), now + 1_000_000), now);
-                gatekeeper.finished(round, ExecutionEnding.ANSWERED, 500, operation, now);
+                gatekeeper.finished(round, ExecutionEnding.ANSWERED, 500, operation, NestedWait.NONE, now);
             }
             micros = (System.nanoTime() - started) / NANOS_PER_MICRO / (ROUNDS * 5);
         }
