--- a/node/src/main/java/org/anvillatch/node/call/CallRouter.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallRouter.java
@@ -35,6 +35,12 @@
 public final class CallRouter {
     private static final long ANSWER_GRACE_MICROS = 20_000;
 
+    /**
+     * Times that a root request goes to another host after one refused it for overload: a second choice evens demand out
+     * (Mitzenmacher, "The Power of Two Choices", 2001), and further ones only carry bodies between failure domains.
+     */
+    private static final int OVERLOAD_REROUTES = 1;
+
     private final DecisionLoop loop;
     private final HostState state;
     private final PeerClient peers;
@@ -109,6 +115,7 @@
         private final Set<String> tried = new HashSet<>();
         private Runnable withdraw = () -> {};
         private int reroutesLeft;
+        private int overloadRefusals;
         private RefusalReason lastRefusal;
         private boolean cancelled;
         private boolean ended;
@@ -246,7 +253,7 @@
         }
 
         private void retryOrEnd(Member host, CallAnswer answer) {
-            if (mayRetry(answer) && (isFreeReroute(answer) || spendRetry())) {
+            if (mayRetry(answer) && !isOverloadCertain(answer) && (isFreeReroute(answer) || spendRetry())) {
                 lastRefusal = answer.reason();
                 tried.add(host.host().name());
                 dispatchToNext();
@@ -255,6 +262,15 @@
             end(answer.withUnspentRetries(budget.remaining()));
         }
 
+        /** A nested call goes on to every host, since its refusal wastes what was done above it. */
+        private boolean isOverloadCertain(CallAnswer answer) {
+            if (answer.reason() != RefusalReason.OVERLOAD || call.context().isNested()) {
+                return false;
+            }
+            overloadRefusals++;
+            return overloadRefusals > OVERLOAD_REROUTES;
+        }
+
         /** A call that reached no endpoint costs no endpoint anything, so it draws on no budget of retries. */
         private boolean isFreeReroute(CallAnswer answer) {
             if (reroutesLeft == 0
