Refuse a root request that others overtake soon, instead of at its deadline

Change: a root request of the least importance waits a quarter of its usual execution at most, the most important ones a whole one; work that can no longer finish is dropped while it waits. Its caller is told at once when to come back. Test: rootRequestThatOthersOvertakeIsToldToComeBackSoon.

--- a/decision/src/main/java/org/anvillatch/decision/admission/AdmissionQueue.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/AdmissionQueue.java
@@ -1,6 +1,5 @@
 package org.anvillatch.decision.admission;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -93,20 +92,16 @@
     }
 
     /**
-     * Removes all work whose deadline has come.
+     * Removes all work that shall wait no longer.
      *
-     * @param latestMicros work with an earlier deadline is removed
+     * @param hasWaitedEnough tells about each
      * @return the removed work
      */
-    public List<Work> removeOverdue(long latestMicros) {
-        List<Work> overdue = new ArrayList<>();
-        for (Waiting entry : waiting) {
-            if (entry.work().deadlineMicros() < latestMicros) {
-                overdue.add(entry.work());
-            }
-        }
-        overdue.forEach(work -> remove(work.execution()));
-        return overdue;
+    public List<Work> removeIf(Predicate<Waiting> hasWaitedEnough) {
+        List<Work> removed =
+                waiting.stream().filter(hasWaitedEnough).map(Waiting::work).toList();
+        removed.forEach(work -> remove(work.execution()));
+        return removed;
     }
 
     /**
--- a/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
@@ -37,6 +37,15 @@
     /** Part of the usual execution that must be left for work to begin; with less it will not finish in time. */
     private static final double NEEDED_SHARE = 0.8;
 
+    /**
+     * Part of its usual execution that a root request of the least importance waits at most; it adds as much to what its
+     * caller sees. The most important ones wait for a whole execution.
+     */
+    private static final double LEAST_WAIT_SHARE = 0.25;
+
+    /** Wait that is allowed to any root request: two ticks of the host, in microseconds. */
+    private static final long LEAST_WAIT_MICROS = 20_000;
+
     private static final double LATENCY_WEIGHT = 0.1;
 
     private final AdmissionFeatures features;
@@ -189,17 +198,20 @@
     }
 
     /**
-     * Drops overdue work and closes the window of the shed level.
+     * Drops work that has waited enough and closes the window of the shed level.
      *
      * @param nowMicros current time
-     * @return refusals of overdue work and starts of work that fits
+     * @return refusals of that work and starts of work that fits
      */
     public List<AdmissionAction> tick(long nowMicros) {
         advanceLevel(nowMicros);
         List<AdmissionAction> actions = new ArrayList<>();
-        for (Work work : queue.removeOverdue(nowMicros)) {
+        for (Work work : queue.removeIf(waiting -> isDoomed(waiting.work(), nowMicros))) {
             actions.add(refuse(work, RefusalReason.DEADLINE, nowMicros));
         }
+        for (Work work : queue.removeIf(waiting -> isStarved(waiting, nowMicros))) {
+            actions.add(refuse(work, RefusalReason.OVERLOAD, nowMicros));
+        }
         actions.addAll(startWaiting(nowMicros));
         return actions;
     }
@@ -293,6 +305,17 @@
         return work.deadlineMicros() - nowMicros <= expected * NEEDED_SHARE;
     }
 
+    /** Higher ranks that keep coming would hold a root request until its deadline; its caller can rather come back. */
+    private boolean isStarved(AdmissionQueue.Waiting waiting, long nowMicros) {
+        Work work = waiting.work();
+        Double usual = latencyMicros.get(work.operation());
+        if (work.nested() || usual == null) {
+            return false;
+        }
+        double share = LEAST_WAIT_SHARE + (1 - LEAST_WAIT_SHARE) * place(work.rank());
+        return nowMicros - waiting.arrivedMicros() > Math.max(LEAST_WAIT_MICROS, usual * share);
+    }
+
     private AdmissionAction refuse(Work work, RefusalReason reason, long nowMicros) {
         shedLevel.ended();
         return new AdmissionAction.Refuse(work.execution(), reason, levelFor(work.operation(), nowMicros));
--- a/decision/src/test/java/org/anvillatch/decision/admission/GatekeeperTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/admission/GatekeeperTest.java
@@ -56,6 +56,22 @@
         assertThat(refusal.reason()).isEqualTo(RefusalReason.OVERLOAD);
     }
 
+    /** Load pattern: overload of one operation, in which newcomers of a higher rank always overtake. */
+    @Test
+    void rootRequestThatOthersOvertakeIsToldToComeBackSoon() {
+        gatekeeper.importances(List.of(0, 15));
+        gatekeeper.announced(1);
+        fillSlots(1);
+        gatekeeper.finished(1_000, ExecutionEnding.ANSWERED, 400_000, OPERATION, NestedWait.NONE, 0);
+        fillSlots(1);
+        gatekeeper.offer(work(1, 0), 0);
+        assertThat(gatekeeper.tick(90_000)).isEmpty();
+        AdmissionAction.Refuse refusal =
+                (AdmissionAction.Refuse) gatekeeper.tick(110_000).get(0);
+        assertThat(refusal.execution()).isEqualTo(1);
+        assertThat(refusal.reason()).isEqualTo(RefusalReason.OVERLOAD);
+    }
+
     @Test
     void runsMostImportantNext() {
         gatekeeper.announced(4);
