--- a/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
@@ -52,14 +52,11 @@
     private final AdmissionQueue queue = new AdmissionQueue();
     private final ShedLevel shedLevel = new ShedLevel();
     private final Set<Long> running = new HashSet<>();
-    private final Map<Long, Work> rootsRunning = new HashMap<>();
-    private final Map<OperationName, Integer> runningByOperation = new HashMap<>();
-    private final Map<OperationName, TreeLimit> treeLimits = new HashMap<>();
+    private final TreeLimits trees = new TreeLimits();
     private final DownstreamLevels downstream = new DownstreamLevels();
     private final Map<OperationName, Double> latencyMicros = new HashMap<>();
     private ConcurrencyLimit limit = new ConcurrencyLimit(1);
     private EndpointPhase phase = EndpointPhase.ABSENT;
-    private List<Integer> importances = List.of();
 
     /**
      * Creates a gatekeeper without an endpoint.
@@ -77,7 +74,7 @@
      */
     public void announced(int slots) {
         limit = new ConcurrencyLimit(slots);
-        treeLimits.clear();
+        trees.reset(slots);
         phase = EndpointPhase.SERVING;
     }
 
@@ -87,7 +84,7 @@
      * @param inUse importances of all routes
      */
     public void importances(Collection<Integer> inUse) {
-        importances = inUse.stream().distinct().sorted().toList();
+        trees.importances(inUse);
     }
 
     /**
@@ -129,7 +126,7 @@
         if (features.shedLevels() && excluded && !work.nested()) {
             return List.of(refuse(work, RefusalReason.OVERLOAD, nowMicros));
         }
-        if (running.size() < limit.limit() && queue.size() == 0 && fitsTreeLimit(work)) {
+        if (running.size() < limit.limit() && queue.size() == 0 && trees.admits(work)) {
             return List.of(begin(work));
         }
         return enqueue(work, nowMicros);
@@ -164,13 +161,7 @@
         if (!running.remove(execution)) {
             return List.of();
         }
-        Work root = rootsRunning.remove(execution);
-        if (root != null) {
-            int concurrent = runningByOperation.merge(operation, -1, Integer::sum) + 1;
-            if (ending != ExecutionEnding.CANCELLED) {
-                treeLimit(operation).ended(concurrent, durationMicros, below, place(root.rank()), nowMicros);
-            }
-        }
+        trees.ended(execution, operation, ending, durationMicros, below, nowMicros);
         shedLevel.ended();
         advanceLevel(nowMicros);
         if (ending == ExecutionEnding.ANSWERED) {
@@ -255,7 +246,7 @@
     private List<AdmissionAction> startWaiting(long nowMicros) {
         List<AdmissionAction> actions = new ArrayList<>();
         while (phase.takesNewWork() && running.size() < limit.limit()) {
-            Optional<AdmissionQueue.Waiting> next = queue.poll(this::fitsTreeLimit);
+            Optional<AdmissionQueue.Waiting> next = queue.poll(trees::admits);
             if (next.isEmpty()) {
                 return actions;
             }
@@ -273,33 +264,10 @@
 
     private AdmissionAction begin(Work work) {
         running.add(work.execution());
-        if (!work.nested()) {
-            rootsRunning.put(work.execution(), work);
-            runningByOperation.merge(work.operation(), 1, Integer::sum);
-        }
+        trees.begin(work);
         return new AdmissionAction.Start(work.execution());
     }
 
-    /** Nested work belongs to a tree that was admitted already. */
-    private boolean fitsTreeLimit(Work work) {
-        return work.nested()
-                || runningByOperation.getOrDefault(work.operation(), 0)
-                        < treeLimit(work.operation()).limit();
-    }
-
-    private TreeLimit treeLimit(OperationName operation) {
-        return treeLimits.computeIfAbsent(operation, name -> new TreeLimit(limit.slots()));
-    }
-
-    /** Place of a rank's importance among those in use, 0 for the least and 1 for the highest. */
-    private double place(int rank) {
-        int importance = Rank.importance(rank);
-        int index = importances.indexOf(importance);
-        return index < 0 || importances.size() < 2
-                ? (double) importance / (Rank.IMPORTANCES - 1)
-                : (double) index / (importances.size() - 1);
-    }
-
     private boolean isDoomed(Work work, long nowMicros) {
         double expected = features.dropDoomed() ? latencyMicros.getOrDefault(work.operation(), 0.0) : 0;
         return work.deadlineMicros() - nowMicros <= expected * NEEDED_SHARE;
@@ -312,7 +280,7 @@
         if (work.nested() || usual == null) {
             return false;
         }
-        double share = LEAST_WAIT_SHARE + (1 - LEAST_WAIT_SHARE) * place(work.rank());
+        double share = LEAST_WAIT_SHARE + (1 - LEAST_WAIT_SHARE) * trees.place(Rank.importance(work.rank()));
         return nowMicros - waiting.arrivedMicros() > Math.max(LEAST_WAIT_MICROS, usual * share);
     }
 
@@ -340,11 +308,7 @@
     }
 
     private int rootCapacity() {
-        int sum = 0;
-        for (TreeLimit treeLimit : treeLimits.values()) {
-            sum += treeLimit.limit();
-        }
-        return sum == 0 ? limit.limit() : Math.min(limit.limit(), sum);
+        return trees.capacity(limit.limit());
     }
 
     private int rootQueue() {
--- a/decision/src/main/java/org/anvillatch/decision/admission/TreeLimit.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/TreeLimit.java
@@ -3,7 +3,8 @@
 /**
  * How many root requests of one operation may run at a time at one endpoint. A request whose nested calls wait long for slots
  * elsewhere shows that a service below is full; the fewer trees run then, the less work is wasted on those that cannot finish.
- * Additive increase, multiplicative decrease on the share of time that the trees spend waiting.
+ * Additive increase, multiplicative decrease on the share of time that the trees spend waiting; the decrease starts from what
+ * runs, so the limit does not bind before calls wait. On a cold endpoint the limit starts low, like that of all executions.
  *
  * <p>Invariant: {@code LEAST <= limit <= slots}. Not thread safe: owned by the host's decision loop.
  */
@@ -17,7 +18,6 @@
     /** The same for the most important requests, which give way last. */
     static final double MOST_WAIT = 0.5;
 
-    private static final double COLD_SHARE = 0.25;
     private static final double DECREASE_FACTOR = 0.85;
     private static final double INCREASE = 2;
 
@@ -27,19 +27,19 @@
     /** Share of waiting that a request counts with if a nested call of it was refused. */
     private static final double REFUSED_WAIT = 2;
 
-    /** Part of the limit that must be in use for it to grow. */
+    /** Part of a limit that was lowered which must be in use for it to grow again. */
     private static final double USED = 0.75;
 
     private final int slots;
     private double limit;
     private double waitShare;
     private double meanMicros;
-    private boolean probing = true;
+    private boolean cold = true;
     private long nextDecreaseMicros;
 
     TreeLimit(int slots) {
         this.slots = Math.max(LEAST, slots);
-        this.limit = Math.max(LEAST, slots * COLD_SHARE);
+        this.limit = Math.max(LEAST, slots * ConcurrencyLimit.COLD_SHARE);
     }
 
     /**
@@ -58,18 +58,20 @@
         meanMicros += (durationMicros - meanMicros) * (meanMicros == 0 ? 1 : WEIGHT);
         double tolerated = LEAST_WAIT + (MOST_WAIT - LEAST_WAIT) * importance;
         if (waitShare > tolerated) {
-            decrease(nowMicros);
+            decrease(running, nowMicros);
+        } else if (cold) {
+            limit = Math.min(slots, limit + 1);
         } else if (running >= limit * USED) {
-            limit = Math.min(slots, limit + (probing ? 1 : INCREASE / limit));
+            limit = Math.min(slots, limit + INCREASE / limit);
         }
     }
 
     /** One decrease for each generation of requests: those that run already still meet the old limit. */
-    private void decrease(long nowMicros) {
-        probing = false;
+    private void decrease(int running, long nowMicros) {
+        cold = false;
         if (nowMicros >= nextDecreaseMicros) {
             nextDecreaseMicros = nowMicros + (long) meanMicros;
-            limit = Math.max(LEAST, limit * DECREASE_FACTOR);
+            limit = Math.max(LEAST, Math.min(limit, running) * DECREASE_FACTOR);
         }
     }
 
