--- a/decision/src/main/java/org/anvillatch/decision/admission/TreeLimit.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/TreeLimit.java
@@ -12,13 +12,19 @@
     /** Requests that always may run, so that an operation can show that its calls no longer wait. */
     static final int LEAST = 2;
 
-    /** Waiting time, as a share of the time spent working, that the least important requests tolerate. */
+    /**
+     * Waiting time, as a share of the time spent working, that the least important requests tolerate; little enough for the
+     * bound on wasted trees in {@code DeepTreeOverloadTest}.
+     */
     static final double LEAST_WAIT = 0.15;
 
-    /** The same for the most important requests, which give way last. */
+    /** The same for the most important requests: a tree whose deadline is twice its work still ends in time. */
     static final double MOST_WAIT = 0.5;
 
+    /** Factor of a decrease; milder than the half of RFC 5681, since the share of waiting is an average already. */
     private static final double DECREASE_FACTOR = 0.85;
+
+    /** Requests by which the limit grows in one generation; RFC 5681 grows by one. */
     private static final double INCREASE = 2;
 
     /** Weight of one ended request in the share of waiting. */
@@ -48,15 +54,15 @@
      * @param running requests of the operation that ran, this one included
      * @param durationMicros how long it ran
      * @param below what its nested calls met
-     * @param importance place among all importances, 0 for the least and 1 for the highest
+     * @param place place of its importance among those in use, 0 for the least and 1 for the highest
      * @param nowMicros current time
      */
-    void ended(int running, long durationMicros, NestedWait below, double importance, long nowMicros) {
+    void ended(int running, long durationMicros, NestedWait below, double place, long nowMicros) {
         double worked = Math.max(1, durationMicros - below.waitedMicros());
         double share = below.refused() ? REFUSED_WAIT : Math.min(REFUSED_WAIT, below.waitedMicros() / worked);
         waitShare += (share - waitShare) * WEIGHT;
         meanMicros += (durationMicros - meanMicros) * (meanMicros == 0 ? 1 : WEIGHT);
-        double tolerated = LEAST_WAIT + (MOST_WAIT - LEAST_WAIT) * importance;
+        double tolerated = LEAST_WAIT + (MOST_WAIT - LEAST_WAIT) * place;
         if (waitShare > tolerated) {
             decrease(running, nowMicros);
         } else if (cold) {
