Encode calls without large buffers, and check silent connections only while answers are awaited

Cause: the codec's defaults take 8 KB for each message that is written and 16 KB for each that is read; kinds of messages were found by a copy of all; every node woke ten times a second to look at connections on which nothing was awaited.

--- a/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
+++ b/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
@@ -24,10 +24,17 @@
  * appended. Stateless and thread safe.
  */
 final class CallCodec {
+    /** First buffer in bytes: a call of usual size without its body. */
+    private static final MessagePack.PackerConfig PACKER = new MessagePack.PackerConfig().withBufferSize(1_024);
+
+    /** Strings are decoded in place; the buffer, in characters, is for those that span two inputs, of which there is one. */
+    private static final MessagePack.UnpackerConfig UNPACKER =
+            new MessagePack.UnpackerConfig().withStringDecoderBufferSize(128);
+
     private CallCodec() {}
 
     static byte[] encode(DispatchMessage message) throws IOException {
-        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+        try (MessageBufferPacker packer = PACKER.newBufferPacker()) {
             CallContext context = message.context();
             packer.packString(context.root())
                     .packInt(context.attempt())
@@ -54,7 +61,7 @@
     }
 
     static DispatchMessage decodeDispatch(byte[] bytes) throws IOException {
-        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+        try (MessageUnpacker unpacker = UNPACKER.newUnpacker(bytes)) {
             String root = unpacker.unpackString();
             int attempt = unpacker.unpackInt();
             String path = unpacker.unpackString();
@@ -80,7 +87,7 @@
     }
 
     static byte[] encode(CallAnswer answer) throws IOException {
-        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+        try (MessageBufferPacker packer = PACKER.newBufferPacker()) {
             pack(packer, answer.outcome());
             pack(packer, answer.reason());
             packer.packInt(answer.status());
@@ -102,7 +109,7 @@
     }
 
     static CallAnswer decodeAnswer(byte[] bytes) throws IOException {
-        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+        try (MessageUnpacker unpacker = UNPACKER.newUnpacker(bytes)) {
             Outcome outcome = constant(unpacker, Outcome.values());
             RefusalReason reason = constant(unpacker, RefusalReason.values());
             int status = unpacker.unpackInt();
--- a/node/src/main/java/org/anvillatch/node/peer/MessageKind.java
+++ b/node/src/main/java/org/anvillatch/node/peer/MessageKind.java
@@ -1,5 +1,8 @@
 package org.anvillatch.node.peer;
 
+import java.util.HashMap;
+import java.util.Map;
+
 import org.anvillatch.node.call.CallAnswer;
 import org.anvillatch.node.call.DispatchMessage;
 import org.anvillatch.node.call.OwnedCallMessage;
@@ -52,6 +55,16 @@
     /** Asks for a sign of life on a connection. */
     CONNECTION_CHECK(21, GossipMessages.ConnectionCheck.class);
 
+    private static final MessageKind[] BY_CODE = new MessageKind[values().length + 1];
+    private static final Map<Class<?>, MessageKind> BY_TYPE = new HashMap<>();
+
+    static {
+        for (MessageKind kind : values()) {
+            BY_CODE[kind.code] = kind;
+            BY_TYPE.put(kind.type, kind);
+        }
+    }
+
     private final int code;
     private final Class<? extends PeerMessage> type;
 
@@ -85,12 +98,7 @@
      * @return the kind, or null if the number is not assigned
      */
     public static MessageKind ofCode(int code) {
-        for (MessageKind kind : values()) {
-            if (kind.code == code) {
-                return kind;
-            }
-        }
-        return null;
+        return code > 0 && code < BY_CODE.length ? BY_CODE[code] : null;
     }
 
     /**
@@ -100,11 +108,10 @@
      * @return its kind
      */
     public static MessageKind of(PeerMessage message) {
-        for (MessageKind kind : values()) {
-            if (kind.type == message.getClass()) {
-                return kind;
-            }
+        MessageKind kind = BY_TYPE.get(message.getClass());
+        if (kind == null) {
+            throw new IllegalArgumentException("no kind for " + message.getClass());
         }
-        throw new IllegalArgumentException("no kind for " + message.getClass());
+        return kind;
     }
 }
--- a/node/src/main/java/org/anvillatch/node/peer/PeerClient.java
+++ b/node/src/main/java/org/anvillatch/node/peer/PeerClient.java
@@ -106,6 +106,7 @@
     private final Map<String, Link> links = new HashMap<>();
     private final Counter bytesSent;
     private long nextCorrelation = 1;
+    private boolean checking;
 
     /**
      * Creates the client.
@@ -130,7 +131,6 @@
 
     @Override
     public void start() throws StartException {
-        loop.repeat(CHECK_PERIOD_MICROS, this::checkSilent);
         try {
             connector.start();
         } catch (Exception failure) {
@@ -160,6 +160,7 @@
         Link link = links.computeIfAbsent(address, this::connect);
         Pending pending = new Pending(link, nextCorrelation++, listener);
         link.pending.put(pending.correlation, pending);
+        checkLater();
         if (link.connection == null) {
             link.waiting.put(pending.correlation, message);
         } else {
@@ -258,10 +259,21 @@
         link.waiting.clear();
     }
 
+    /** Looks at the connections again as long as anything waits for an answer. */
+    private void checkLater() {
+        if (!checking) {
+            checking = true;
+            loop.schedule(CHECK_PERIOD_MICROS, this::checkSilent);
+        }
+    }
+
     /** Finds connections that no longer carry anything, which TCP itself reports only after minutes. */
     private void checkSilent() {
+        checking = false;
         long now = loop.nowMicros();
+        boolean waits = false;
         for (Link link : List.copyOf(links.values())) {
+            waits |= !link.pending.isEmpty();
             boolean quiet = !link.pending.isEmpty() && now - link.heardMicros > SILENCE_MICROS;
             if (link.connection == null || !quiet) {
                 link.checkedMicros = 0;
@@ -274,6 +286,9 @@
                 broken(link);
             }
         }
+        if (waits) {
+            checkLater();
+        }
     }
 
     private void check(Link link) {
