Avoid endpoints that fail their work, and never call a request not run that may have run

Cause: an endpoint that turns work away or fails it at once looked fast and empty, so it drew more (EndpointLoad learned the time of rejections); nobody compared endpoints. A second try that was refused answered "not run" for a request whose first answer was lost. A lost answer spent the retry that it had been given, so safe requests were not tried again after it. Ruled out: ejection by each sender; at 95 hosts each sees a few executions a second, the gatekeeper beside the endpoint sees all. Change: EndpointHealth in the gatekeeper weighs faults that are the endpoint's own (no call of the execution failed); the phase FAILING goes out at once and by gossip, and senders use such an endpoint only while the others have no room, for 1 to 4 s. An idempotent call that an endpoint failed by itself is tried elsewhere within the budget. A refusal never hides an earlier try.

--- a/decision/src/main/java/org/anvillatch/decision/admission/ExecutionEnding.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/ExecutionEnding.java
@@ -6,6 +6,8 @@
 public enum ExecutionEnding {
     /** The endpoint gave a complete answer. */
     ANSWERED(false),
+    /** The endpoint gave a complete answer that reports a failure; its own if none of its calls failed. */
+    FAILED(false),
     /** The endpoint rejected the work without running it. */
     REJECTED(true),
     /** The deadline passed before the answer. */
@@ -21,6 +23,20 @@
         this.lowersLimit = lowersLimit;
     }
 
+    /**
+     * Tells whether the endpoint failed the work by itself.
+     *
+     * @param called whether the execution made calls of its own, which may be why it took too long
+     * @return true for a fault of the endpoint
+     */
+    public boolean isFault(boolean called) {
+        return switch (this) {
+            case ANSWERED, CANCELLED -> false;
+            case FAILED, REJECTED, BROKEN -> true;
+            case TIMED_OUT -> !called;
+        };
+    }
+
     /**
      * Tells whether the endpoint was given too much.
      *
--- a/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
@@ -52,6 +52,7 @@
     private final AdmissionQueue queue = new AdmissionQueue();
     private final ShedLevel shedLevel = new ShedLevel();
     private final Set<Long> running = new HashSet<>();
+    private EndpointHealth health = new EndpointHealth();
     private final TreeLimits trees = new TreeLimits();
     private final DownstreamLevels downstream = new DownstreamLevels();
     private final Map<OperationName, Double> latencyMicros = new HashMap<>();
@@ -75,6 +76,7 @@
     public void announced(int slots) {
         limit = new ConcurrencyLimit(slots);
         trees.reset(slots);
+        health = new EndpointHealth();
         phase = EndpointPhase.SERVING;
     }
 
@@ -164,6 +166,9 @@
         trees.ended(execution, operation, ending, durationMicros, below, nowMicros);
         shedLevel.ended();
         advanceLevel(nowMicros);
+        if (ending != ExecutionEnding.CANCELLED) {
+            health.ended(ending.isFault(below.called()), nowMicros);
+        }
         if (ending == ExecutionEnding.ANSWERED) {
             limit.succeeded();
             latencyMicros.merge(
@@ -216,6 +221,16 @@
         return queue.size() > 0 || shedLevel.level() > 0;
     }
 
+    /**
+     * Returns the phase that other hosts are told.
+     *
+     * @param nowMicros current time
+     * @return the phase in force, or that of a failing endpoint while it serves and fails work
+     */
+    public EndpointPhase announcedPhase(long nowMicros) {
+        return phase == EndpointPhase.SERVING && health.isFailing(nowMicros) ? EndpointPhase.FAILING : phase;
+    }
+
     /**
      * Learns the level that a nested call has met.
      *
--- a/decision/src/main/java/org/anvillatch/decision/admission/NestedWait.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/NestedWait.java
@@ -5,10 +5,21 @@
  *
  * @param waitedMicros time that they waited for slots, in microseconds
  * @param refused whether one of them was refused
+ * @param called whether there was any
  */
-public record NestedWait(long waitedMicros, boolean refused) {
-    /** No call has waited. */
-    public static final NestedWait NONE = new NestedWait(0, false);
+public record NestedWait(long waitedMicros, boolean refused, boolean called) {
+    /** No call was made. */
+    public static final NestedWait NONE = new NestedWait(0, false, false);
+
+    /**
+     * Creates the wait of calls that were made.
+     *
+     * @param waitedMicros time that they waited for slots, in microseconds
+     * @param refused whether one of them was refused
+     */
+    public NestedWait(long waitedMicros, boolean refused) {
+        this(waitedMicros, refused, true);
+    }
 
     /**
      * Adds what one more call has met.
--- a/decision/src/main/java/org/anvillatch/decision/drain/EndpointPhase.java
+++ b/decision/src/main/java/org/anvillatch/decision/drain/EndpointPhase.java
@@ -8,6 +8,8 @@
     ABSENT(false),
     /** The endpoint takes new work. */
     SERVING(true),
+    /** The endpoint fails part of its work; it gets new work only while others have no room. */
+    FAILING(true),
     /** An operator has drained the endpoint; it may return. */
     DRAINED(false),
     /** The endpoint said that it is leaving; it only finishes what runs. */
@@ -38,7 +40,7 @@
      */
     public EndpointPhase drained(boolean drain) {
         if (drain) {
-            return this == SERVING ? DRAINED : this;
+            return takesNewWork ? DRAINED : this;
         }
         return this == DRAINED ? SERVING : this;
     }
--- a/decision/src/main/java/org/anvillatch/decision/routing/EndpointSelector.java
+++ b/decision/src/main/java/org/anvillatch/decision/routing/EndpointSelector.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
+import org.anvillatch.decision.drain.EndpointPhase;
 import org.anvillatch.decision.membership.Member;
 import org.anvillatch.decision.membership.MemberStatus;
 import org.anvillatch.decision.membership.Membership;
@@ -81,14 +82,27 @@
 
     private List<Member> usable(Request request, long nowMicros) {
         List<Member> healthy = new ArrayList<>();
+        List<Member> failing = new ArrayList<>();
         List<Member> doubtful = new ArrayList<>();
+        boolean room = false;
         for (Member member : endpointsOf(request.operation().service())) {
             if (!isAllowed(member, request)) {
                 continue;
             }
             boolean doubted =
                     member.status() != MemberStatus.ALIVE || load(member).isEjected(nowMicros);
-            (doubted ? doubtful : healthy).add(member);
+            if (doubted) {
+                doubtful.add(member);
+            } else if (member.phase() == EndpointPhase.FAILING) {
+                failing.add(member);
+            } else {
+                healthy.add(member);
+                room |= load(member).utilization(member.slots(), nowMicros) <= 1;
+            }
+        }
+        if (!room) {
+            // Part of what a failing endpoint gets is lost, but all of what the full ones refuse is.
+            healthy.addAll(failing);
         }
         return healthy.isEmpty() ? doubtful : healthy;
     }
--- a/decision/src/test/java/org/anvillatch/decision/admission/GatekeeperTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/admission/GatekeeperTest.java
@@ -42,6 +42,33 @@
         assertThat(gatekeeper.status().running()).isEqualTo(1);
     }
 
+    /** Load pattern: the endpoint turns away at once half of what it is given. */
+    @Test
+    void endpointThatFailsItsWorkIsAnnouncedAsFailing() {
+        gatekeeper.announced(4);
+        for (int execution = 0; execution < 6; execution++) {
+            gatekeeper.offer(work(execution, BULK), 0);
+            ExecutionEnding ending = execution % 2 == 0 ? ExecutionEnding.ANSWERED : ExecutionEnding.REJECTED;
+            gatekeeper.finished(execution, ending, 10, OPERATION, NestedWait.NONE, 10);
+        }
+        assertThat(gatekeeper.announcedPhase(10)).isEqualTo(EndpointPhase.FAILING);
+        assertThat(gatekeeper.offer(work(9, BULK), 20)).containsExactly(new AdmissionAction.Start(9));
+        assertThat(gatekeeper.announcedPhase(10 + EndpointHealth.LONGEST_REST_MICROS))
+                .isEqualTo(EndpointPhase.SERVING);
+    }
+
+    /** Load pattern: calls to another service fail, so that requests fail whose endpoint is sound. */
+    @Test
+    void timeSpentInCallsIsNoFaultOfTheEndpoint() {
+        gatekeeper.announced(4);
+        for (int execution = 0; execution < 6; execution++) {
+            gatekeeper.offer(work(execution, BULK), 0);
+            NestedWait below = new NestedWait(5, true);
+            gatekeeper.finished(execution, ExecutionEnding.TIMED_OUT, 10, OPERATION, below, 10);
+        }
+        assertThat(gatekeeper.announcedPhase(10)).isEqualTo(EndpointPhase.SERVING);
+    }
+
     @Test
     void evictsLeastImportantFirst() {
         gatekeeper.announced(4);
--- a/decision/src/test/java/org/anvillatch/decision/routing/EndpointSelectorTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/routing/EndpointSelectorTest.java
@@ -63,6 +63,26 @@
         assertThat(choose(0, Set.of(), Set.of()).host().host().name()).isEqualTo("good");
     }
 
+    /** Load pattern: one of two endpoints fails a part of its work. */
+    @Test
+    void failingEndpointGetsWorkOnlyWhileOthersAreFull() {
+        Member good = member("good", "d2", EndpointPhase.SERVING, MemberStatus.ALIVE);
+        know(member("failing", "d1", EndpointPhase.FAILING, MemberStatus.ALIVE), good);
+        int sent = 0;
+        while (choose(0, Set.of(), Set.of()).host().equals(good)) {
+            selector.sent(good);
+            sent++;
+            assertThat(sent).isAtMost(good.slots());
+        }
+        assertThat(sent).isEqualTo(good.slots());
+    }
+
+    @Test
+    void failingEndpointServesIfThereIsNoOther() {
+        know(member("failing", "d1", EndpointPhase.FAILING, MemberStatus.ALIVE));
+        assertThat(choose(0, Set.of(), Set.of()).isChosen()).isTrue();
+    }
+
     @Test
     void refusesARankBelowTheLevelOfEveryEndpoint() {
         Member only = member("only", "d1", EndpointPhase.SERVING, MemberStatus.ALIVE);
--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -179,6 +179,7 @@
         }
         configurationService.onChange(this::configurationChanged);
         gatekeeping.onCrash(membershipService::spread);
+        gatekeeping.onHealthChange(membershipService::announce);
         lastTickMicros = loop.nowMicros();
         loop.repeat(TICK_MICROS, this::tick);
         loop.repeat(MembershipService.TICK_MICROS, membershipService::tick);
--- a/node/src/main/java/org/anvillatch/node/call/CallAnswer.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallAnswer.java
@@ -42,10 +42,23 @@
      * @param busy executions that run or wait
      * @param durationMicros how long the execution took, 0 if it did not run
      * @param waitedMicros how long the call and the calls below it waited for slots
+     * @param ownFault whether the endpoint failed the call although none of its own calls failed
      */
-    public record LoadReport(int level, int busy, long durationMicros, long waitedMicros) {
+    public record LoadReport(int level, int busy, long durationMicros, long waitedMicros, boolean ownFault) {
         /** Nothing is known. */
         public static final LoadReport NONE = new LoadReport(0, 0, 0, 0);
+
+        /**
+         * Creates the report of a call that the endpoint did not fail.
+         *
+         * @param level lowest rank admitted for the operation
+         * @param busy executions that run or wait
+         * @param durationMicros how long the execution took, 0 if it did not run
+         * @param waitedMicros how long the call and the calls below it waited for slots
+         */
+        public LoadReport(int level, int busy, long durationMicros, long waitedMicros) {
+            this(level, busy, durationMicros, waitedMicros, false);
+        }
     }
 
     /**
--- a/node/src/main/java/org/anvillatch/node/call/CallRouter.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallRouter.java
@@ -29,8 +29,9 @@
  * call's budget and the service's ratio permit.
  *
  * <p>Invariants: each call is answered exactly once; "not run" is answered only if every dispatch was refused by a
- * gatekeeper or never sent; a call that is not idempotent is dispatched again only after such a refusal. Owned by the
- * decision loop: all methods are called on it.
+ * gatekeeper or never sent; a call that is not idempotent is dispatched again only after such a refusal. An idempotent call
+ * is also dispatched again after an endpoint failed it by itself: another one may not. Owned by the decision loop: all
+ * methods are called on it.
  */
 public final class CallRouter {
     private static final long ANSWER_GRACE_MICROS = 20_000;
@@ -117,6 +118,7 @@
         private int reroutesLeft;
         private int overloadRefusals;
         private RefusalReason lastRefusal;
+        private CallAnswer mayHaveRun;
         private boolean cancelled;
         private boolean ended;
 
@@ -229,7 +231,9 @@
         private void answered(Member host, CallAnswer answer) {
             long now = loop.nowMicros();
             CallAnswer.LoadReport load = answer.report();
-            AnswerReport report = new AnswerReport(call.operation(), load.level(), load.busy(), load.durationMicros());
+            // How fast work is turned away tells nothing about how fast it is done.
+            long duration = answer.outcome() == Outcome.COMPLETE ? load.durationMicros() : 0;
+            AnswerReport report = new AnswerReport(call.operation(), load.level(), load.busy(), duration);
             state.selector().answered(host, report, now);
             if (answer.reason() == RefusalReason.DRAINING || answer.reason() == RefusalReason.NO_ENDPOINT) {
                 state.selector().leaving(host, now);
@@ -253,6 +257,9 @@
         }
 
         private void retryOrEnd(Member host, CallAnswer answer) {
+            if (answer.outcome().mayHaveRun()) {
+                mayHaveRun = answer;
+            }
             if (mayRetry(answer) && !isOverloadCertain(answer) && (isFreeReroute(answer) || spendRetry())) {
                 lastRefusal = answer.reason();
                 tried.add(host.host().name());
@@ -297,11 +304,24 @@
             return !cancelled
                     && elsewhere
                     && answer.suspicions().isEmpty()
-                    && answer.outcome().permitsRetry(call.policy().idempotent())
+                    && permitsRetry(answer)
                     && loop.nowMicros() < call.deadlineMicros();
         }
 
-        private void end(CallAnswer answer) {
+        /** A failure that comes from below would be met again, and the whole tree with it. */
+        private boolean permitsRetry(CallAnswer answer) {
+            boolean idempotent = call.policy().idempotent();
+            return answer.outcome().permitsRetry(idempotent)
+                    || idempotent
+                            && answer.outcome() == Outcome.FAILED
+                            && answer.report().ownFault();
+        }
+
+        /** A refusal of a later try must not hide that an earlier one may have run. */
+        private void end(CallAnswer last) {
+            CallAnswer answer = last.outcome() == Outcome.NOT_RUN && mayHaveRun != null
+                    ? mayHaveRun.withUnspentRetries(last.unspentRetries())
+                    : last;
             if (ended) {
                 throw new IllegalStateException("call " + call.context().path() + " is answered twice");
             }
--- a/node/src/main/java/org/anvillatch/node/call/Gatekeeping.java
+++ b/node/src/main/java/org/anvillatch/node/call/Gatekeeping.java
@@ -29,6 +29,8 @@
 import org.anvillatch.node.endpoint.EndpointPort;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Carries out the decisions of this host's {@link Gatekeeper}: sends started work to the endpoint and answers senders.
@@ -37,12 +39,20 @@
  * endpoint, or the endpoint itself said that it did not run it. Owned by the decision loop.
  */
 public final class Gatekeeping {
+    private static final Logger LOG = LoggerFactory.getLogger(Gatekeeping.class);
     private static final int SERVER_ERROR = 500;
+
+    /** The endpoint's answer when the deadline passes, which is no fault of its own. */
+    private static final int DEADLINE_STATUS = 504;
+
     private static final int RECENT_SUCCESSES = 1_000;
 
     /** Time between two looks at the queue while anything waits, in microseconds. */
     private static final long TICK_MICROS = 10_000;
 
+    /** Time between two looks at a failing endpoint, in microseconds: a tenth of its shortest rest. */
+    private static final long HEALTH_MICROS = 100_000;
+
     /** Time between a broken answer and the sign of a crash that it can belong to, in microseconds. */
     private static final long CRASH_WINDOW_MICROS = 1_000_000;
 
@@ -57,6 +67,7 @@
     private final CrashEvidence crashEvidence;
     private final Deque<BrokenExecution> brokenExecutions = new ArrayDeque<>();
     private Consumer<List<CrashSuspects.Suspicion>> crashListener = suspicions -> {};
+    private Runnable healthListener = () -> {};
     private EndpointAnnouncement endpoint;
     private boolean ticking;
     private long nextExecution = 1;
@@ -96,6 +107,15 @@
         crashListener = listener;
     }
 
+    /**
+     * Sets who hears that the endpoint begins or ceases to fail its work.
+     *
+     * @param listener called on the loop
+     */
+    public void onHealthChange(Runnable listener) {
+        healthListener = listener;
+    }
+
     private record BrokenExecution(String fingerprint, long atMicros) {}
 
     /** One dispatch at this host. Owned by the decision loop. */
@@ -113,6 +133,7 @@
         private boolean started;
         private int nestedCount;
         private NestedWait below = NestedWait.NONE;
+        private boolean nestedFailed;
 
         private Execution(long number, DispatchMessage message, Consumer<CallAnswer> reply, long nowMicros) {
             this.number = number;
@@ -295,7 +316,8 @@
     private void publish() {
         GatekeeperStatus status = state.gatekeeper().status();
         String service = endpoint == null ? "" : endpoint.service();
-        state.membership().endpointChanged(service, status.slots(), status.phase());
+        state.membership()
+                .endpointChanged(service, status.slots(), state.gatekeeper().announcedPhase(loop.nowMicros()));
     }
 
     /**
@@ -374,7 +396,7 @@
         List<AdmissionAction> next = state.gatekeeper()
                 .finished(
                         execution.number,
-                        ending(answer.ending()),
+                        ending(execution, answer),
                         duration,
                         execution.message.operation(),
                         execution.below,
@@ -390,6 +412,31 @@
         }
         execution.reply.accept(toCallAnswer(execution, answer, duration, suspicions));
         perform(next);
+        noteHealth();
+    }
+
+    /** Tells other hosts when the endpoint begins to fail its work, and when it is worth another try. */
+    private void noteHealth() {
+        EndpointPhase next = state.gatekeeper().announcedPhase(loop.nowMicros());
+        EndpointPhase told = state.membership().self().phase();
+        if (next == told || next != EndpointPhase.FAILING && told != EndpointPhase.FAILING) {
+            return;
+        }
+        LOG.info("endpoint phase={} before={}", next, told);
+        publish();
+        healthListener.run();
+        if (next == EndpointPhase.FAILING) {
+            watchHealth();
+        }
+    }
+
+    private void watchHealth() {
+        loop.schedule(HEALTH_MICROS, () -> {
+            noteHealth();
+            if (state.membership().self().phase() == EndpointPhase.FAILING) {
+                watchHealth();
+            }
+        });
     }
 
     /**
@@ -402,14 +449,15 @@
     public void nestedEnded(Execution parent, OperationName called, CallAnswer answer) {
         boolean refused = answer.reason() == RefusalReason.OVERLOAD || answer.reason() == RefusalReason.DEADLINE;
         parent.below = parent.below.plus(answer.report().waitedMicros(), refused);
+        parent.nestedFailed |= answer.outcome() != Outcome.COMPLETE;
         state.gatekeeper()
                 .downstreamLevel(
                         parent.message.operation(), called, answer.report().level(), loop.nowMicros());
     }
 
-    private static ExecutionEnding ending(EndpointPort.Ending ending) {
-        return switch (ending) {
-            case ANSWERED -> ExecutionEnding.ANSWERED;
+    private static ExecutionEnding ending(Execution execution, EndpointPort.EndpointAnswer answer) {
+        return switch (answer.ending()) {
+            case ANSWERED -> isOwnFault(execution, answer) ? ExecutionEnding.FAILED : ExecutionEnding.ANSWERED;
             case REJECTED -> ExecutionEnding.REJECTED;
             case TIMED_OUT -> ExecutionEnding.TIMED_OUT;
             case ABORTED -> ExecutionEnding.CANCELLED;
@@ -417,6 +465,14 @@
         };
     }
 
+    /** A failure is the endpoint's own if all calls that the execution made have succeeded. */
+    private static boolean isOwnFault(Execution execution, EndpointPort.EndpointAnswer answer) {
+        return answer.ending() == EndpointPort.Ending.ANSWERED
+                && answer.status() >= SERVER_ERROR
+                && answer.status() != DEADLINE_STATUS
+                && !execution.nestedFailed;
+    }
+
     private void rememberSuccess(String fingerprint) {
         recentSuccesses.remove(fingerprint);
         recentSuccesses.add(fingerprint);
@@ -489,7 +545,8 @@
         int level = state.gatekeeper().levelFor(execution.message.operation(), loop.nowMicros());
         int unspent = execution.budget.remaining();
         long waited = execution.startedMicros - execution.arrivedMicros + execution.below.waitedMicros();
-        CallAnswer.LoadReport report = new CallAnswer.LoadReport(level, busy(), duration, waited);
+        boolean ownFault = isOwnFault(execution, answer);
+        CallAnswer.LoadReport report = new CallAnswer.LoadReport(level, busy(), duration, waited, ownFault);
         return switch (answer.ending()) {
             case ANSWERED -> {
                 Outcome outcome = answer.status() >= SERVER_ERROR ? Outcome.FAILED : Outcome.COMPLETE;
@@ -528,7 +585,8 @@
                                 "the endpoint of host " + host + " gave no complete answer: " + answer.detail(),
                                 host,
                                 suspicions)
-                        .withReport(report);
+                        .withReport(report)
+                        .withUnspentRetries(unspent);
         };
     }
 
--- a/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
+++ b/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
@@ -96,7 +96,8 @@
                     .packInt(answer.report().level())
                     .packInt(answer.report().busy())
                     .packLong(answer.report().durationMicros())
-                    .packLong(answer.report().waitedMicros());
+                    .packLong(answer.report().waitedMicros())
+                    .packBoolean(answer.report().ownFault());
             pack(packer, answer.firstOutcome());
             packer.packString(answer.host()).packString(answer.detail());
             packer.packArrayHeader(answer.suspicions().size());
@@ -116,7 +117,11 @@
             CallBody body = body(unpacker);
             int unspent = unpacker.unpackInt();
             CallAnswer.LoadReport report = new CallAnswer.LoadReport(
-                    unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackLong(), unpacker.unpackLong());
+                    unpacker.unpackInt(),
+                    unpacker.unpackInt(),
+                    unpacker.unpackLong(),
+                    unpacker.unpackLong(),
+                    unpacker.unpackBoolean());
             Outcome first = constant(unpacker, Outcome.values());
             String host = unpacker.unpackString();
             String detail = unpacker.unpackString();
