--- a/node/src/main/java/org/anvillatch/node/call/CallAnswer.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallAnswer.java
@@ -42,7 +42,7 @@
      * @param busy executions that run or wait
      * @param durationMicros how long the execution took, 0 if it did not run
      * @param waitedMicros how long the call and the calls below it waited for slots
-     * @param ownFault whether the endpoint failed the call although none of its own calls failed
+     * @param ownFault whether the endpoint failed the call before it made any of its own
      */
     public record LoadReport(int level, int busy, long durationMicros, long waitedMicros, boolean ownFault) {
         /** Nothing is known. */
--- a/node/src/main/java/org/anvillatch/node/call/Gatekeeping.java
+++ b/node/src/main/java/org/anvillatch/node/call/Gatekeeping.java
@@ -191,6 +191,11 @@
             nested.add(route);
         }
 
+        /** Calls would be made again by a second run, and count as repeats at every service below. */
+        private boolean hasCalled() {
+            return below.called() || !nested.isEmpty();
+        }
+
         /**
          * Returns the identity that the endpoint is given.
          *
@@ -545,7 +550,7 @@
         int level = state.gatekeeper().levelFor(execution.message.operation(), loop.nowMicros());
         int unspent = execution.budget.remaining();
         long waited = execution.startedMicros - execution.arrivedMicros + execution.below.waitedMicros();
-        boolean ownFault = isOwnFault(execution, answer);
+        boolean ownFault = isOwnFault(execution, answer) && !execution.hasCalled();
         CallAnswer.LoadReport report = new CallAnswer.LoadReport(level, busy(), duration, waited, ownFault);
         return switch (answer.ending()) {
             case ANSWERED -> {
@@ -586,7 +591,7 @@
                                 host,
                                 suspicions)
                         .withReport(report)
-                        .withUnspentRetries(unspent);
+                        .withUnspentRetries(execution.hasCalled() ? 0 : unspent);
         };
     }
 
