Tell other hosts the usual time of an execution, and leave an endpoint that has turned thrice as slow

Cause: an endpoint of the own domain was preferred as long as it had room, however slow; a sender learns times late, and one it never used looked fastest. Ruled out: fullness (4 to 10 of 29 slots busy); exploring by each sender (over half a minute to tell two means apart). Change: UsualTime in the gatekeeper, told in the member record; EndpointSelector crosses at three times the time.

--- a/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
@@ -53,6 +53,7 @@
     private final ShedLevel shedLevel = new ShedLevel();
     private final Set<Long> running = new HashSet<>();
     private EndpointHealth health = new EndpointHealth();
+    private UsualTime usualTime = new UsualTime();
     private final TreeLimits trees = new TreeLimits();
     private final DownstreamLevels downstream = new DownstreamLevels();
     private final Map<OperationName, Double> latencyMicros = new HashMap<>();
@@ -77,6 +78,7 @@
         limit = new ConcurrencyLimit(slots);
         trees.reset(slots);
         health = new EndpointHealth();
+        usualTime = new UsualTime();
         phase = EndpointPhase.SERVING;
     }
 
@@ -171,6 +173,7 @@
         }
         if (ending == ExecutionEnding.ANSWERED) {
             limit.succeeded();
+            usualTime.ended(Math.max(0, durationMicros - below.ranMicros()));
             latencyMicros.merge(
                     operation, (double) durationMicros, (old, latest) -> old + (latest - old) * LATENCY_WEIGHT);
         } else if (ending.lowersLimit()) {
@@ -221,6 +224,15 @@
         return queue.size() > 0 || shedLevel.level() > 0;
     }
 
+    /**
+     * Returns the usual time of an execution without its calls, as other hosts are told.
+     *
+     * @return microseconds, or 0 while not known
+     */
+    public long usualMicros() {
+        return usualTime.micros();
+    }
+
     /**
      * Returns the phase that other hosts are told.
      *
--- a/decision/src/main/java/org/anvillatch/decision/admission/NestedWait.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/NestedWait.java
@@ -6,10 +6,11 @@
  * @param waitedMicros time that they waited for slots, in microseconds
  * @param refused whether one of them was refused
  * @param called whether there was any
+ * @param ranMicros time that they ran, in microseconds
  */
-public record NestedWait(long waitedMicros, boolean refused, boolean called) {
+public record NestedWait(long waitedMicros, boolean refused, boolean called, long ranMicros) {
     /** No call was made. */
-    public static final NestedWait NONE = new NestedWait(0, false, false);
+    public static final NestedWait NONE = new NestedWait(0, false, false, 0);
 
     /**
      * Creates the wait of calls that were made.
@@ -18,7 +19,7 @@
      * @param refused whether one of them was refused
      */
     public NestedWait(long waitedMicros, boolean refused) {
-        this(waitedMicros, refused, true);
+        this(waitedMicros, refused, true, 0);
     }
 
     /**
@@ -29,6 +30,16 @@
      * @return the sum
      */
     public NestedWait plus(long micros, boolean wasRefused) {
-        return new NestedWait(waitedMicros + micros, refused || wasRefused);
+        return new NestedWait(waitedMicros + micros, refused || wasRefused, true, ranMicros);
+    }
+
+    /**
+     * Adds the execution of one more call.
+     *
+     * @param micros time that it ran, in microseconds
+     * @return the sum
+     */
+    public NestedWait plusRun(long micros) {
+        return new NestedWait(waitedMicros, refused, true, ranMicros + micros);
     }
 }
--- a/decision/src/main/java/org/anvillatch/decision/membership/Member.java
+++ b/decision/src/main/java/org/anvillatch/decision/membership/Member.java
@@ -14,6 +14,7 @@
  * @param slots slots of the endpoint, 0 if none
  * @param phase phase of the endpoint
  * @param status how the host is believed to be
+ * @param usualMicros usual time of an execution at the endpoint without its calls, in microseconds; 0 while not known
  */
 public record Member(
         HostIdentity host,
@@ -23,7 +24,32 @@
         String service,
         int slots,
         EndpointPhase phase,
-        MemberStatus status) {
+        MemberStatus status,
+        long usualMicros) {
+    /**
+     * Creates what is known of a host whose endpoint has run little yet.
+     *
+     * @param host identity of the host
+     * @param update number of the host's word in this life
+     * @param address IP number and port for other hosts
+     * @param domain failure domain
+     * @param service service of the endpoint, or empty
+     * @param slots slots of the endpoint
+     * @param phase phase of the endpoint
+     * @param status how the host is believed to be
+     */
+    public Member(
+            HostIdentity host,
+            long update,
+            String address,
+            String domain,
+            String service,
+            int slots,
+            EndpointPhase phase,
+            MemberStatus status) {
+        this(host, update, address, domain, service, slots, phase, status, 0);
+    }
+
     /**
      * Tells whether this knowledge replaces other knowledge of the same host name.
      *
@@ -47,7 +73,7 @@
      * @return a copy
      */
     public Member withStatus(MemberStatus next) {
-        return new Member(host, update, address, domain, service, slots, phase, next);
+        return new Member(host, update, address, domain, service, slots, phase, next, usualMicros);
     }
 
     /**
@@ -56,10 +82,11 @@
      * @param newService service of the endpoint, or empty
      * @param newSlots slots of the endpoint
      * @param newPhase phase of the endpoint
+     * @param newUsualMicros usual time of an execution, in microseconds, or 0
      * @return a copy with the next update number
      */
-    public Member withEndpoint(String newService, int newSlots, EndpointPhase newPhase) {
-        return new Member(host, update + 1, address, domain, newService, newSlots, newPhase, status);
+    public Member withEndpoint(String newService, int newSlots, EndpointPhase newPhase, long newUsualMicros) {
+        return new Member(host, update + 1, address, domain, newService, newSlots, newPhase, status, newUsualMicros);
     }
 
     /**
@@ -70,7 +97,7 @@
      */
     public Member refuting(long after) {
         long next = Math.max(after, update) + 1;
-        return new Member(host, next, address, domain, service, slots, phase, MemberStatus.ALIVE);
+        return new Member(host, next, address, domain, service, slots, phase, MemberStatus.ALIVE, usualMicros);
     }
 
     /**
@@ -80,6 +107,6 @@
      * @return a copy
      */
     public Member withIdentity(HostIdentity identity) {
-        return new Member(identity, update + 1, address, domain, service, slots, phase, status);
+        return new Member(identity, update + 1, address, domain, service, slots, phase, status, usualMicros);
     }
 }
--- a/decision/src/main/java/org/anvillatch/decision/membership/Membership.java
+++ b/decision/src/main/java/org/anvillatch/decision/membership/Membership.java
@@ -278,9 +278,10 @@
      * @param service service of the endpoint, or empty
      * @param slots slots of the endpoint
      * @param phase phase of the endpoint
+     * @param usualMicros usual time of an execution, in microseconds, or 0 while not known
      */
-    public void endpointChanged(String service, int slots, EndpointPhase phase) {
-        members.put(self, members.get(self).withEndpoint(service, slots, phase));
+    public void endpointChanged(String service, int slots, EndpointPhase phase, long usualMicros) {
+        members.put(self, members.get(self).withEndpoint(service, slots, phase, usualMicros));
         pendingUpdates.put(self, 0);
         version++;
     }
@@ -288,7 +289,7 @@
     /** Says that this host leaves. */
     public void leave() {
         Member member = members.get(self);
-        members.put(self, member.withEndpoint("", 0, EndpointPhase.LEAVING).withStatus(MemberStatus.LEFT));
+        members.put(self, member.withEndpoint("", 0, EndpointPhase.LEAVING, 0).withStatus(MemberStatus.LEFT));
         pendingUpdates.put(self, 0);
         version++;
     }
--- a/decision/src/main/java/org/anvillatch/decision/routing/EndpointLoad.java
+++ b/decision/src/main/java/org/anvillatch/decision/routing/EndpointLoad.java
@@ -66,8 +66,9 @@
         return levels.getOrDefault(operation, LearnedLevel.NONE).at(nowMicros);
     }
 
-    double cost(int slots, long nowMicros) {
-        return utilization(slots, nowMicros) * latencyMicros;
+    /** What is told of the endpoint's usual time goes before what this sender has seen of it. */
+    double cost(int slots, long toldMicros, long nowMicros) {
+        return utilization(slots, nowMicros) * (toldMicros > 0 ? toldMicros : latencyMicros);
     }
 
     /** Part of the slots that would be busy with one call more. */
--- a/decision/src/main/java/org/anvillatch/decision/routing/EndpointSelector.java
+++ b/decision/src/main/java/org/anvillatch/decision/routing/EndpointSelector.java
@@ -29,6 +29,12 @@
     /** Factor on the cost of an endpoint in another failure domain. */
     public static final double OTHER_DOMAIN_COST = 1.5;
 
+    /**
+     * How many times longer than at an endpoint with room elsewhere an execution may usually take in this failure domain: the
+     * users' aims are two and a half times the unloaded time of a tree, and told times scatter by a quarter.
+     */
+    public static final double SLOWER_IN_DOMAIN = 3;
+
     /** Part of its slots up to which an endpoint of this failure domain is preferred to any other domain's. */
     public static final double OWN_DOMAIN_UTILIZATION = 0.75;
 
@@ -69,7 +75,11 @@
         if (usable.isEmpty()) {
             return new RouteChoice(null, RefusalReason.NO_ENDPOINT, 0);
         }
-        Member best = cheapest(withRoomInDomain(usable, nowMicros), request, nowMicros);
+        List<Member> roomy = withRoom(usable, nowMicros);
+        Member best = cheapest(inDomain(roomy), request, nowMicros);
+        if (best == null && isSlowInDomain(usable, roomy, nowMicros)) {
+            best = cheapest(sample(roomy, random), request, nowMicros);
+        }
         if (best == null) {
             best = cheapest(sample(usable, random), request, nowMicros);
         }
@@ -130,18 +140,39 @@
         return byService.getOrDefault(service, List.of());
     }
 
-    /** Endpoints of this failure domain that are far from full: nothing is gained by crossing to another domain. */
-    private List<Member> withRoomInDomain(List<Member> usable, long nowMicros) {
+    /** Endpoints that are far from full and not much slower than others of that kind. */
+    private List<Member> withRoom(List<Member> usable, long nowMicros) {
         List<Member> found = new ArrayList<>();
+        long fastest = Long.MAX_VALUE;
         for (Member member : usable) {
-            if (member.domain().equals(membership.self().domain())
-                    && load(member).utilization(member.slots(), nowMicros) < OWN_DOMAIN_UTILIZATION) {
+            if (hasRoom(member, nowMicros)) {
                 found.add(member);
+                fastest = member.usualMicros() > 0 ? Math.min(fastest, member.usualMicros()) : fastest;
             }
         }
+        double slowest = fastest * SLOWER_IN_DOMAIN;
+        found.removeIf(member -> member.usualMicros() > slowest);
         return found;
     }
 
+    private boolean hasRoom(Member member, long nowMicros) {
+        return load(member).utilization(member.slots(), nowMicros) < OWN_DOMAIN_UTILIZATION;
+    }
+
+    /** Nothing is gained by crossing to another domain while such an endpoint is in this one. */
+    private List<Member> inDomain(List<Member> members) {
+        return members.stream().filter(this::isInDomain).toList();
+    }
+
+    private boolean isInDomain(Member member) {
+        return member.domain().equals(membership.self().domain());
+    }
+
+    /** Tells whether this domain's endpoints have room, but only slow ones. */
+    private boolean isSlowInDomain(List<Member> usable, List<Member> roomy, long nowMicros) {
+        return !roomy.isEmpty() && usable.stream().anyMatch(member -> isInDomain(member) && hasRoom(member, nowMicros));
+    }
+
     private List<Member> sample(List<Member> usable, RandomGenerator random) {
         if (usable.size() <= CANDIDATES) {
             return usable;
@@ -161,7 +192,7 @@
             if (load.level(request.operation(), nowMicros) > request.rank()) {
                 continue;
             }
-            double cost = load.cost(member.slots(), nowMicros) * domainFactor(member);
+            double cost = load.cost(member.slots(), member.usualMicros(), nowMicros) * domainFactor(member);
             if (cost < bestCost) {
                 bestCost = cost;
                 best = member;
@@ -171,7 +202,7 @@
     }
 
     private double domainFactor(Member member) {
-        return member.domain().equals(membership.self().domain()) ? 1 : OTHER_DOMAIN_COST;
+        return isInDomain(member) ? 1 : OTHER_DOMAIN_COST;
     }
 
     private int lowestLevel(List<Member> usable, OperationName operation, long nowMicros) {
--- a/decision/src/test/java/org/anvillatch/decision/routing/EndpointSelectorTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/routing/EndpointSelectorTest.java
@@ -77,6 +77,53 @@
         assertThat(sent).isEqualTo(good.slots());
     }
 
+    private static Member timed(String name, String domain, long usualMicros) {
+        return new Member(
+                new HostIdentity(name, 1),
+                0,
+                name,
+                domain,
+                "glossary",
+                10,
+                EndpointPhase.SERVING,
+                MemberStatus.ALIVE,
+                usualMicros);
+    }
+
+    /** Load pattern: the only endpoint of this domain has turned four times as slow as those of others. */
+    @Test
+    void slowEndpointOfTheOwnDomainIsLeftWhileOthersHaveRoom() {
+        know(timed("own", "d1", 168_000), timed("far", "d2", 42_000), timed("other", "d3", 42_000));
+        for (int tries = 0; tries < 5; tries++) {
+            Member chosen = choose(0, Set.of(), Set.of()).host();
+            assertThat(chosen.host().name()).isNotEqualTo("own");
+            selector.sent(chosen);
+        }
+    }
+
+    /** Load pattern: endpoints differ in speed by design; bytes between domains cost more than half the time is worth. */
+    @Test
+    void ownDomainIsKeptIfItsEndpointIsLessThanThriceAsSlow() {
+        know(timed("own", "d1", 96_000), timed("far", "d2", 42_000));
+        for (int tries = 0; tries < 5; tries++) {
+            Member chosen = choose(0, Set.of(), Set.of()).host();
+            assertThat(chosen.host().name()).isEqualTo("own");
+            selector.sent(chosen);
+        }
+    }
+
+    @Test
+    void slowEndpointOfTheOwnDomainTakesWorkOnceOthersAreBusy() {
+        know(timed("own", "d1", 168_000), timed("far", "d2", 42_000));
+        boolean own = false;
+        for (int tries = 0; tries < 10; tries++) {
+            Member chosen = choose(0, Set.of(), Set.of()).host();
+            own |= chosen.host().name().equals("own");
+            selector.sent(chosen);
+        }
+        assertThat(own).isTrue();
+    }
+
     @Test
     void failingEndpointServesIfThereIsNoOther() {
         know(member("failing", "d1", EndpointPhase.FAILING, MemberStatus.ALIVE));
--- a/node/src/main/java/org/anvillatch/node/call/Gatekeeping.java
+++ b/node/src/main/java/org/anvillatch/node/call/Gatekeeping.java
@@ -321,8 +321,10 @@
     private void publish() {
         GatekeeperStatus status = state.gatekeeper().status();
         String service = endpoint == null ? "" : endpoint.service();
+        EndpointPhase phase = state.gatekeeper().announcedPhase(loop.nowMicros());
         state.membership()
-                .endpointChanged(service, status.slots(), state.gatekeeper().announcedPhase(loop.nowMicros()));
+                .endpointChanged(
+                        service, status.slots(), phase, state.gatekeeper().usualMicros());
     }
 
     /**
@@ -424,6 +426,9 @@
     private void noteHealth() {
         EndpointPhase next = state.gatekeeper().announcedPhase(loop.nowMicros());
         EndpointPhase told = state.membership().self().phase();
+        if (state.gatekeeper().usualMicros() != state.membership().self().usualMicros()) {
+            publish();
+        }
         if (next == told || next != EndpointPhase.FAILING && told != EndpointPhase.FAILING) {
             return;
         }
@@ -454,6 +459,7 @@
     public void nestedEnded(Execution parent, OperationName called, CallAnswer answer) {
         boolean refused = answer.reason() == RefusalReason.OVERLOAD || answer.reason() == RefusalReason.DEADLINE;
         parent.below = parent.below.plus(answer.report().waitedMicros(), refused);
+        parent.below = parent.below.plusRun(answer.report().durationMicros());
         parent.nestedFailed |= answer.outcome() != Outcome.COMPLETE;
         state.gatekeeper()
                 .downstreamLevel(
