--- a/node/src/main/java/org/anvillatch/node/ProbingConnector.java
+++ b/node/src/main/java/org/anvillatch/node/ProbingConnector.java
@@ -1,15 +1,24 @@
 package org.anvillatch.node;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Function;
 
 import jdk.net.ExtendedSocketOptions;
+import org.eclipse.jetty.io.ClientConnectionFactory;
 import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.Transport;
+import org.eclipse.jetty.util.Promise;
 import org.eclipse.jetty.util.ssl.SslContextFactory;
 
 /**
@@ -24,6 +33,36 @@
     /** Unanswered probes after which a connection is broken; together with the idle time about 3 s. */
     private static final int PROBES = 2;
 
+    /**
+     * Opens a connection.
+     *
+     * @param address IP number and port, joined by a colon
+     * @param connections makes the connection of an open socket
+     * @param failed receives why there is none, on any thread
+     */
+    public void connect(String address, Function<EndPoint, Connection> connections, Consumer<Throwable> failed) {
+        int colon = address.lastIndexOf(':');
+        InetSocketAddress socketAddress;
+        try {
+            int port = Integer.parseInt(address.substring(colon + 1));
+            socketAddress = new InetSocketAddress(address.substring(0, colon), port);
+        } catch (RuntimeException malformed) {
+            failed.accept(new IOException("address \"" + address + "\" is not HOST:PORT", malformed));
+            return;
+        }
+        Map<String, Object> context = new HashMap<>();
+        context.put(ClientConnectionFactory.CONTEXT_KEY, (ClientConnectionFactory)
+                (endPoint, parameters) -> connections.apply(endPoint));
+        context.put(Transport.class.getName(), Transport.TCP_IP);
+        context.put(CONNECTION_PROMISE_CONTEXT_KEY, new Promise<Connection>() {
+            @Override
+            public void failed(Throwable failure) {
+                failed.accept(failure);
+            }
+        });
+        connect(socketAddress, context);
+    }
+
     /** Everything here is plain text; starting a TLS context would cost a sixth of the process's start. */
     @Override
     protected SslContextFactory.Client newSslContextFactory() {
--- a/node/src/main/java/org/anvillatch/node/peer/PeerClient.java
+++ b/node/src/main/java/org/anvillatch/node/peer/PeerClient.java
@@ -1,6 +1,5 @@
 package org.anvillatch.node.peer;
 
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
@@ -16,12 +15,6 @@
 import org.anvillatch.node.Service;
 import org.anvillatch.node.StartException;
 import org.anvillatch.node.loop.DecisionLoop;
-import org.eclipse.jetty.io.ClientConnectionFactory;
-import org.eclipse.jetty.io.ClientConnector;
-import org.eclipse.jetty.io.Connection;
-import org.eclipse.jetty.io.EndPoint;
-import org.eclipse.jetty.io.Transport;
-import org.eclipse.jetty.util.Promise;
 import org.eclipse.jetty.util.thread.Scheduler;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -102,7 +95,7 @@
     }
 
     private final DecisionLoop loop;
-    private final ClientConnector connector = new ProbingConnector();
+    private final ProbingConnector connector = new ProbingConnector();
     private final Map<String, Link> links = new HashMap<>();
     private final Counter bytesSent;
     private long nextCorrelation = 1;
@@ -219,34 +212,16 @@
 
     private Link connect(String address) {
         Link link = new Link(address);
-        int colon = address.lastIndexOf(':');
-        InetSocketAddress socketAddress;
-        try {
-            int port = Integer.parseInt(address.substring(colon + 1));
-            socketAddress = new InetSocketAddress(address.substring(0, colon), port);
-        } catch (RuntimeException malformed) {
-            loop.execute(() -> broken(link));
-            return link;
-        }
-        Map<String, Object> context = new HashMap<>();
-        context.put(ClientConnectionFactory.CONTEXT_KEY, (ClientConnectionFactory)
-                (endPoint, parameters) -> newConnection(link, endPoint));
-        context.put(Transport.class.getName(), Transport.TCP_IP);
-        context.put(ClientConnector.CONNECTION_PROMISE_CONTEXT_KEY, new Promise<Connection>() {
-            @Override
-            public void failed(Throwable failure) {
-                LOG.debug("connect to {} failed", address, failure);
-                loop.execute(() -> broken(link));
-            }
-        });
-        connector.connect(socketAddress, context);
+        connector.connect(
+                address,
+                endPoint -> new PeerConnection(endPoint, connector.getExecutor(), new LinkListener(link)),
+                failure -> {
+                    LOG.debug("connect to {} failed", address, failure);
+                    loop.execute(() -> broken(link));
+                });
         return link;
     }
 
-    private Connection newConnection(Link link, EndPoint endPoint) throws IOException {
-        return new PeerConnection(endPoint, connector.getExecutor(), new LinkListener(link));
-    }
-
     private void openedOnLoop(Link link, PeerConnection connection) {
         link.heardMicros = loop.nowMicros();
         link.connection = connection;
--- a/node/src/main/java/org/anvillatch/node/peer/PeerConnection.java
+++ b/node/src/main/java/org/anvillatch/node/peer/PeerConnection.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeoutException;
 
+import org.anvillatch.node.SelectorRead;
 import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Callback;
@@ -61,7 +62,7 @@
 
     private final Listener listener;
     private final Writer writer = new Writer();
-    private final Callback readCallback = new ReadCallback();
+    private final Callback readCallback = new SelectorRead(this::onFillable, this::onFillInterestedFailed);
     private ByteBuffer input = ByteBuffer.allocate(FIRST_BUFFER_BYTES);
 
     /**
@@ -163,24 +164,6 @@
         return true;
     }
 
-    /** Reads on the selector's own thread, since listeners do not block. */
-    private final class ReadCallback implements Callback {
-        @Override
-        public void succeeded() {
-            onFillable();
-        }
-
-        @Override
-        public void failed(Throwable failure) {
-            onFillInterestedFailed(failure);
-        }
-
-        @Override
-        public InvocationType getInvocationType() {
-            return InvocationType.NON_BLOCKING;
-        }
-    }
-
     private final class Writer extends IteratingCallback {
         private final Queue<ByteBuffer> queue = new ArrayDeque<>();
 
