--- a/decision/src/main/java/org/anvillatch/decision/membership/Member.java
+++ b/decision/src/main/java/org/anvillatch/decision/membership/Member.java
@@ -26,30 +26,6 @@
         EndpointPhase phase,
         MemberStatus status,
         long usualMicros) {
-    /**
-     * Creates what is known of a host whose endpoint has run little yet.
-     *
-     * @param host identity of the host
-     * @param update number of the host's word in this life
-     * @param address IP number and port for other hosts
-     * @param domain failure domain
-     * @param service service of the endpoint, or empty
-     * @param slots slots of the endpoint
-     * @param phase phase of the endpoint
-     * @param status how the host is believed to be
-     */
-    public Member(
-            HostIdentity host,
-            long update,
-            String address,
-            String domain,
-            String service,
-            int slots,
-            EndpointPhase phase,
-            MemberStatus status) {
-        this(host, update, address, domain, service, slots, phase, status, 0);
-    }
-
     /**
      * Tells whether this knowledge replaces other knowledge of the same host name.
      *
--- a/decision/src/test/java/org/anvillatch/decision/membership/MembershipDigestTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/membership/MembershipDigestTest.java
@@ -21,7 +21,8 @@
                 "s",
                 1,
                 EndpointPhase.SERVING,
-                MemberStatus.ALIVE);
+                MemberStatus.ALIVE,
+                0);
     }
 
     private static List<Member> members(int count) {
--- a/decision/src/test/java/org/anvillatch/decision/membership/MembershipTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/membership/MembershipTest.java
@@ -30,7 +30,8 @@
                     "s",
                     1,
                     EndpointPhase.SERVING,
-                    MemberStatus.ALIVE);
+                    MemberStatus.ALIVE,
+                    0);
             hosts.put(name, new Membership(self, List.of("h0")));
         }
 
@@ -122,7 +123,7 @@
     }
 
     private static Member member(String name, long incarnation, MemberStatus status) {
-        return new Member(new HostIdentity(name, incarnation), 0, name, "d", "s", 1, EndpointPhase.SERVING, status);
+        return new Member(new HostIdentity(name, incarnation), 0, name, "d", "s", 1, EndpointPhase.SERVING, status, 0);
     }
 
     @Test
--- a/decision/src/test/java/org/anvillatch/decision/routing/EndpointSelectorTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/routing/EndpointSelectorTest.java
@@ -25,7 +25,7 @@
     private final SplittableRandom random = new SplittableRandom(1);
 
     private static Member member(String name, String domain, EndpointPhase phase, MemberStatus status) {
-        return new Member(new HostIdentity(name, 1), 0, name, domain, "glossary", 10, phase, status);
+        return new Member(new HostIdentity(name, 1), 0, name, domain, "glossary", 10, phase, status, 0);
     }
 
     private RouteChoice choose(int rank, Set<String> excluded, Set<String> drained) {
--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -138,7 +138,8 @@
                 "",
                 0,
                 EndpointPhase.ABSENT,
-                MemberStatus.ALIVE);
+                MemberStatus.ALIVE,
+                0);
         Membership membership = new Membership(self, settings.seeds());
         long seed = settings.randomSeed() == 0 ? System.nanoTime() : settings.randomSeed();
         return new HostState(
--- a/node/src/test/java/org/anvillatch/node/peer/FrameCodecTest.java
+++ b/node/src/test/java/org/anvillatch/node/peer/FrameCodecTest.java
@@ -36,7 +36,8 @@
             "glossary",
             15,
             EndpointPhase.SERVING,
-            MemberStatus.ALIVE);
+            MemberStatus.ALIVE,
+            0);
 
     private static PeerMessage throughTheWire(PeerMessage message) throws FrameException {
         ByteBuffer bytes = FrameCodec.encode(new Frame(77, true, message));
--- a/testbed/src/main/java/org/anvillatch/testbed/capacity/CapacityMain.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/capacity/CapacityMain.java
@@ -117,7 +117,8 @@
                 "service-" + number % SERVICES,
                 80,
                 EndpointPhase.SERVING,
-                MemberStatus.ALIVE);
+                MemberStatus.ALIVE,
+                0);
     }
 
     private static int size(PeerMessage message) throws FrameException {
