Remove what the endpoint client left unused, and publish a change of health once

HttpClients.create with a connector had no caller left. A change of an endpoint's health was published twice when its usual time changed with it.

--- a/node/src/main/java/org/anvillatch/node/HttpClients.java
+++ b/node/src/main/java/org/anvillatch/node/HttpClients.java
@@ -4,7 +4,6 @@
 
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportDynamic;
-import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.Invocable;
 import org.eclipse.jetty.util.thread.Scheduler;
 import org.slf4j.Logger;
@@ -27,20 +26,7 @@
      * @return the client, with one selector
      */
     public static HttpClient create(Executor executor, Scheduler scheduler, long connectTimeoutMillis) {
-        return create(new ProbingConnector(), executor, scheduler, connectTimeoutMillis);
-    }
-
-    /**
-     * Creates a client that is not started.
-     *
-     * @param connector opens the connections
-     * @param executor runs callbacks
-     * @param scheduler runs timeouts
-     * @param connectTimeoutMillis longest wait for a connection
-     * @return the client, with one selector
-     */
-    public static HttpClient create(
-            ClientConnector connector, Executor executor, Scheduler scheduler, long connectTimeoutMillis) {
+        ProbingConnector connector = new ProbingConnector();
         connector.setSelectors(1);
         connector.setExecutor(executor);
         connector.setScheduler(scheduler);
--- a/node/src/main/java/org/anvillatch/node/call/Gatekeeping.java
+++ b/node/src/main/java/org/anvillatch/node/call/Gatekeeping.java
@@ -426,14 +426,15 @@
     private void noteHealth() {
         EndpointPhase next = state.gatekeeper().announcedPhase(loop.nowMicros());
         EndpointPhase told = state.membership().self().phase();
-        if (state.gatekeeper().usualMicros() != state.membership().self().usualMicros()) {
+        boolean healthChanged = (next == EndpointPhase.FAILING) != (told == EndpointPhase.FAILING);
+        long usualMicros = state.gatekeeper().usualMicros();
+        if (healthChanged || usualMicros != state.membership().self().usualMicros()) {
             publish();
         }
-        if (next == told || next != EndpointPhase.FAILING && told != EndpointPhase.FAILING) {
+        if (!healthChanged) {
             return;
         }
         LOG.info("endpoint phase={} before={}", next, told);
-        publish();
         healthListener.run();
         if (next == EndpointPhase.FAILING) {
             watchHealth();
