--- a/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
+++ b/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
@@ -19,6 +19,7 @@
 import org.anvillatch.decision.admission.NestedCallStats;
 import org.anvillatch.decision.admission.Work;
 import org.anvillatch.decision.drain.EndpointPhase;
+import org.anvillatch.decision.model.EndpointNotice;
 import org.anvillatch.decision.model.OperationName;
 import org.anvillatch.decision.model.Outcome;
 import org.anvillatch.decision.model.RefusalReason;
@@ -49,6 +50,9 @@
      */
     private static final int DEADLINE_STATUS = 504;
 
+    /** Minimum change of the endpoint's limit that is logged, as a fraction of the limit. */
+    private static final double LOGGED_LIMIT_CHANGE = 0.1;
+
     private static final int MAX_RECENTLY_ANSWERED = 1_000;
 
     /** Period of the gatekeeper's timer while it needs one, in microseconds. */
@@ -76,6 +80,7 @@
     private Consumer<List<CrashSuspects.Suspicion>> crashListener = suspicions -> {};
     private Runnable healthListener = () -> {};
     private EndpointAnnouncement endpoint;
+    private EndpointNotice notice = EndpointNotice.unrestricted("");
     private boolean tickScheduled;
     private long nextExecution = 1;
     private long crashCount;
@@ -384,6 +389,7 @@
         execution.startedMicros = now;
         startedByCallPath.put(execution.message.context().path(), execution);
         record(execution, "start", "", 0);
+        metrics.counter("gatekeeper.started").inc();
         execution.abort = client.send(
                 endpoint,
                 execution.name(),
@@ -412,6 +418,9 @@
         executions.remove(execution.number);
         startedByCallPath.remove(execution.message.context().path(), execution);
         long now = loop.nowMicros();
+        if (answer.notice() != null) {
+            logNotice(answer.notice());
+        }
         long durationMicros = now - execution.startedMicros;
         List<AdmissionAction> next = state.gatekeeper()
                 .recordEnd(
@@ -435,6 +444,31 @@
         updateHealth();
     }
 
+    /** Logs a notice of the endpoint if it differs from the previous one by more than a small change of the limit. */
+    private void logNotice(EndpointNotice next) {
+        boolean limitChanged = next.isLimited() != notice.isLimited()
+                || Math.abs(next.maxRequestsPerSecond() - notice.maxRequestsPerSecond())
+                        > notice.maxRequestsPerSecond() * LOGGED_LIMIT_CHANGE;
+        if (limitChanged || next.leaving() != notice.leaving()) {
+            LOG.info(
+                    "endpoint instance={} limitPerSecond={} before={} leaving={}",
+                    next.instance(),
+                    next.maxRequestsPerSecond(),
+                    notice.maxRequestsPerSecond(),
+                    next.leaving());
+            notice = next;
+        }
+    }
+
+    /**
+     * Returns the number of requests per second that the endpoint accepts.
+     *
+     * @return the limit that the endpoint named, 0 if it names none
+     */
+    public double limitPerSecond() {
+        return notice.isLimited() ? notice.maxRequestsPerSecond() : 0;
+    }
+
     /** Advertises the endpoint again if it has started or stopped failing, or if its service time has changed. */
     private void updateHealth() {
         EndpointPhase next = state.gatekeeper().advertisedPhase(loop.nowMicros());
--- a/node/src/main/java/org/anvillatch/node/endpoint/EndpointClient.java
+++ b/node/src/main/java/org/anvillatch/node/endpoint/EndpointClient.java
@@ -130,7 +130,7 @@
             String type = result.getResponse().getHeaders().get(HttpHeader.CONTENT_TYPE);
             CallBody body = new CallBody(type == null ? "" : type, getContent());
             return new EndpointAnswer(
-                    rejected ? ExchangeResult.REJECTED : ExchangeResult.ANSWERED, status, List.of(), body, "");
+                    rejected ? ExchangeResult.REJECTED : ExchangeResult.ANSWERED, status, List.of(), body, "", null);
         }
 
         private EndpointAnswer toFailure(Result result) {
--- a/node/src/main/java/org/anvillatch/node/endpoint/EndpointTransport.java
+++ b/node/src/main/java/org/anvillatch/node/endpoint/EndpointTransport.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.anvillatch.decision.model.EndpointNotice;
 import org.anvillatch.node.Service;
 import org.anvillatch.node.call.CallBody;
 import org.anvillatch.node.call.DispatchMessage;
@@ -37,8 +38,15 @@
      * @param headers header fields that are forwarded unchanged, may be empty
      * @param body body of the response
      * @param detail human-readable explanation
+     * @param notice what the endpoint says about itself in the response, null if there is no response of this endpoint
      */
-    record EndpointAnswer(ExchangeResult result, int status, List<HeaderField> headers, CallBody body, String detail) {
+    record EndpointAnswer(
+            ExchangeResult result,
+            int status,
+            List<HeaderField> headers,
+            CallBody body,
+            String detail,
+            EndpointNotice notice) {
         /**
          * Creates the answer for a request without a usable response.
          *
@@ -47,7 +55,17 @@
          * @return the answer
          */
         public static EndpointAnswer withoutResponse(ExchangeResult result, String detail) {
-            return new EndpointAnswer(result, 0, List.of(), CallBody.EMPTY, detail);
+            return new EndpointAnswer(result, 0, List.of(), CallBody.EMPTY, detail, null);
+        }
+
+        /**
+         * Returns a copy of this answer with the endpoint's notice.
+         *
+         * @param newNotice what the endpoint says about itself in the response
+         * @return the copy
+         */
+        public EndpointAnswer withNotice(EndpointNotice newNotice) {
+            return new EndpointAnswer(result, status, headers, body, detail, newNotice);
         }
     }
 
