Bound the requests per second of an endpoint by the limit in its answers

Cause: the gatekeeper bounds what runs at a time and what is queued, never how much starts per second, and Server-Limit was forwarded unread. The gatekeeper beside an endpoint sees every request to it, so it alone can keep a limit that is meant for all hosts together: a token bucket for starts (RateLimit), which ends 1 s after the last answer that named it. Work that may not start yet waits in the queue that exists, by rank, so the least important is refused first and shed levels rise as under any other overload; the queue is sized by the concurrency that the limit permits (Little's law), so that queue times stay bounded.

RateLimitTest holds limits of 0 to 150 a second, the order of refusal, the use of the limit and its end.

--- a/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 
 import org.anvillatch.decision.drain.EndpointPhase;
+import org.anvillatch.decision.model.EndpointNotice;
 import org.anvillatch.decision.model.OperationName;
 import org.anvillatch.decision.model.Rank;
 import org.anvillatch.decision.model.RefusalReason;
@@ -20,7 +21,7 @@
  *
  * <p>Invariants: an {@link AdmissionAction.Start} is returned at most once for an execution and never after an
  * {@link AdmissionAction.Refuse} of it; no execution starts while as many run as the limit allows; nothing starts
- * unless the phase accepts new work. Not thread safe: owned by the host's decision loop.
+ * unless the phase accepts new work or faster than the endpoint's own {@link RateLimit} permits. Not thread safe: owned by the host's decision loop.
  */
 public final class Gatekeeper {
     /** Queue length, as a fraction of the limit, up to which queued work does not count as overload. */
@@ -61,6 +62,8 @@
     private final DownstreamLevels downstream = new DownstreamLevels();
     private final Map<OperationName, Double> meanLatencyMicros = new HashMap<>();
     private ConcurrencyLimit limit = new ConcurrencyLimit(1);
+    private RateLimit rateLimit = new RateLimit();
+    private double meanDurationMicros;
     private EndpointPhase phase = EndpointPhase.ABSENT;
 
     /**
@@ -79,12 +82,24 @@
      */
     public void endpointAnnounced(int slots) {
         limit = new ConcurrencyLimit(slots);
+        rateLimit = new RateLimit();
+        meanDurationMicros = 0;
         treeLimits.reset(slots);
         health = new EndpointHealth();
         serviceTime = new ServiceTimeEstimator();
         phase = EndpointPhase.SERVING;
     }
 
+    /**
+     * Applies what the endpoint says about itself in an answer.
+     *
+     * @param notice notice of the current endpoint
+     * @param nowMicros current time in microseconds
+     */
+    public void recordNotice(EndpointNotice notice, long nowMicros) {
+        rateLimit.update(notice.maxRequestsPerSecond(), nowMicros);
+    }
+
     /**
      * Sets the importances in use; the position of a request's importance among them determines its queue timeout and
      * the tolerated wait ratio of its nested calls.
@@ -135,7 +150,7 @@
         if (features.shedLevels() && belowLevel && !work.nested()) {
             return List.of(refuse(work, RefusalReason.OVERLOAD, nowMicros));
         }
-        if (running.size() < limit.limit() && queue.size() == 0 && treeLimits.admits(work)) {
+        if (hasCapacity(nowMicros) && queue.size() == 0 && treeLimits.admits(work)) {
             return List.of(start(work));
         }
         return enqueue(work, nowMicros);
@@ -181,6 +196,8 @@
             serviceTime.addSample(Math.max(0, durationMicros - nestedCalls.executionMicros()));
             meanLatencyMicros.merge(
                     operation, (double) durationMicros, (old, latest) -> old + (latest - old) * LATENCY_EWMA_WEIGHT);
+            double weight = meanDurationMicros == 0 ? 1 : LATENCY_EWMA_WEIGHT;
+            meanDurationMicros += (durationMicros - meanDurationMicros) * weight;
         } else if (result.lowersLimit()) {
             limit.recordRejection(nowMicros);
         }
@@ -278,7 +295,7 @@
 
     private List<AdmissionAction> startQueued(long nowMicros) {
         List<AdmissionAction> actions = new ArrayList<>();
-        while (phase.takesNewWork() && running.size() < limit.limit()) {
+        while (phase.takesNewWork() && hasCapacity(nowMicros)) {
             Optional<AdmissionQueue.QueuedWork> next = queue.poll(treeLimits::admits);
             if (next.isEmpty()) {
                 return actions;
@@ -288,6 +305,10 @@
         return actions;
     }
 
+    private boolean hasCapacity(long nowMicros) {
+        return running.size() < limit.limit() && rateLimit.permitsStart(nowMicros);
+    }
+
     private AdmissionAction startOrRefuse(AdmissionQueue.QueuedWork next, long nowMicros) {
         if (cannotMeetDeadline(next.work(), nowMicros)) {
             return refuse(next.work(), RefusalReason.DEADLINE, nowMicros);
@@ -297,6 +318,7 @@
 
     private AdmissionAction start(Work work) {
         running.add(work.execution());
+        rateLimit.recordStart();
         treeLimits.recordStart(work);
         return new AdmissionAction.Start(work.execution());
     }
@@ -335,7 +357,7 @@
     /** Updates the shed level from the queue that is longer relative to its target: of root requests or of all work. */
     private void updateShedLevel(long nowMicros) {
         int rootTarget = queueTarget(rootCapacity());
-        int target = queueTarget(limit.limit());
+        int target = queueTarget(concurrency());
         boolean rootsLonger = (long) queue.rootCount() * target > (long) queue.size() * rootTarget;
         shedLevel.sample(rootsLonger ? queue.rootCount() : queue.size(), rootsLonger ? rootTarget : target, nowMicros);
     }
@@ -344,8 +366,18 @@
         return (int) Math.ceil(capacity * TARGET_QUEUE_RATIO);
     }
 
+    /**
+     * Returns the number of executions that can run at a time: the lower of the concurrency limit and the concurrency
+     * that the rate limit permits. The queue is sized by it, so that the queue time is bounded under either limit.
+     */
+    private int concurrency() {
+        return rateLimit.isLimited()
+                ? Math.min(limit.limit(), rateLimit.concurrency(meanDurationMicros))
+                : limit.limit();
+    }
+
     private int rootCapacity() {
-        return treeLimits.capacity(limit.limit());
+        return treeLimits.capacity(concurrency());
     }
 
     private int maxRootQueue() {
@@ -353,7 +385,7 @@
     }
 
     private int maxQueue() {
-        return MAX_QUEUE_FACTOR * Math.max(MIN_QUEUE_CAPACITY, (int) (limit.limit() * MAX_ROOT_QUEUE_RATIO));
+        return MAX_QUEUE_FACTOR * Math.max(MIN_QUEUE_CAPACITY, (int) (concurrency() * MAX_ROOT_QUEUE_RATIO));
     }
 
     /**
--- a/decision/src/main/java/org/anvillatch/decision/model/EndpointNotice.java
+++ b/decision/src/main/java/org/anvillatch/decision/model/EndpointNotice.java
@@ -5,7 +5,7 @@
  *
  * @param instance identity of the process
  * @param maxRequestsPerSecond number of requests per second that the process accepts from all hosts together; positive
- *     infinity if it names no limit
+ *     infinity if it names no limit, NaN if it names one that cannot be read, which restricts nothing
  * @param leaving whether the process is leaving
  */
 public record EndpointNotice(String instance, double maxRequestsPerSecond, boolean leaving) {
--- a/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
+++ b/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
@@ -418,9 +418,7 @@
         executions.remove(execution.number);
         startedByCallPath.remove(execution.message.context().path(), execution);
         long now = loop.nowMicros();
-        if (answer.notice() != null) {
-            logNotice(answer.notice());
-        }
+        applyNotice(answer.notice(), now);
         long durationMicros = now - execution.startedMicros;
         List<AdmissionAction> next = state.gatekeeper()
                 .recordEnd(
@@ -444,17 +442,26 @@
         updateHealth();
     }
 
+    /** Applies a notice of the current endpoint; those of an earlier process and null are ignored. */
+    private void applyNotice(EndpointNotice received, long nowMicros) {
+        if (received != null && received.instance().equals(endpoint.instance())) {
+            logNotice(received);
+            state.gatekeeper().recordNotice(received, nowMicros);
+        }
+    }
+
     /** Logs a notice of the endpoint if it differs from the previous one by more than a small change of the limit. */
     private void logNotice(EndpointNotice next) {
-        boolean limitChanged = next.isLimited() != notice.isLimited()
-                || Math.abs(next.maxRequestsPerSecond() - notice.maxRequestsPerSecond())
-                        > notice.maxRequestsPerSecond() * LOGGED_LIMIT_CHANGE;
+        double limit = notice.maxRequestsPerSecond();
+        boolean limitChanged = next.isLimited() && notice.isLimited()
+                ? Math.abs(next.maxRequestsPerSecond() - limit) > limit * LOGGED_LIMIT_CHANGE
+                : Double.compare(next.maxRequestsPerSecond(), limit) != 0;
         if (limitChanged || next.leaving() != notice.leaving()) {
             LOG.info(
                     "endpoint instance={} limitPerSecond={} before={} leaving={}",
                     next.instance(),
                     next.maxRequestsPerSecond(),
-                    notice.maxRequestsPerSecond(),
+                    limit,
                     next.leaving());
             notice = next;
         }
