Refuse new work for an endpoint whose answers say that it leaves

The gatekeeper's service now takes it as the start of leaving, before the answer is passed on, and announces it to other hosts.

--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -188,7 +188,7 @@
         }
         configurationService.addChangeListener(this::configurationChanged);
         gatekeeperService.setCrashListener(membershipService::broadcastSuspicions);
-        gatekeeperService.setHealthListener(membershipService::announceSelf);
+        gatekeeperService.setEndpointListener(membershipService::announceSelf);
         lastTickMicros = loop.nowMicros();
         loop.scheduleRepeatedly(TICK_PERIOD_MICROS, this::tick);
         loop.scheduleRepeatedly(MembershipService.TICK_PERIOD_MICROS, membershipService::tick);
--- a/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
+++ b/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
@@ -38,7 +38,8 @@
  * senders.
  *
  * <p>Invariants: each dispatch is answered exactly once; a dispatch that is answered "not run" was never sent to an
- * endpoint, or the endpoint that received it reported that it did not run it. Owned by the decision loop: all methods
+ * endpoint, or the endpoint that received it reported that it did not run it; a process of the endpoint that is leaving
+ * gets no new work unless it announces itself again. Owned by the decision loop: all methods
  * are called on it.
  */
 public final class GatekeeperService {
@@ -78,9 +79,13 @@
     private final CrashSignal crashSignal;
     private final Deque<LostExecution> lostExecutions = new ArrayDeque<>();
     private Consumer<List<CrashSuspects.Suspicion>> crashListener = suspicions -> {};
-    private Runnable healthListener = () -> {};
+    private Runnable endpointListener = () -> {};
     private EndpointAnnouncement endpoint;
     private EndpointNotice notice = EndpointNotice.unrestricted("");
+
+    /** The process of the endpoint that is leaving, null if none is. */
+    private String leavingInstance;
+
     private boolean tickScheduled;
     private long nextExecution = 1;
     private long crashCount;
@@ -120,12 +125,12 @@
     }
 
     /**
-     * Sets the listener for changes of the endpoint's health.
+     * Sets the listener for changes of the endpoint that its answers show.
      *
-     * @param listener called on the loop when the endpoint starts or stops failing
+     * @param listener called on the loop when the endpoint starts or stops failing, or says that it is leaving
      */
-    public void setHealthListener(Runnable listener) {
-        healthListener = listener;
+    public void setEndpointListener(Runnable listener) {
+        endpointListener = listener;
     }
 
     private record LostExecution(String fingerprint, long atMicros) {}
@@ -300,6 +305,7 @@
      * @param announcement the announcement
      */
     public void endpointAnnounced(EndpointAnnouncement announcement) {
+        leavingInstance = null;
         boolean sameInstance = endpoint != null && endpoint.instance().equals(announcement.instance());
         if (sameInstance && state.gatekeeper().phase() == EndpointPhase.SILENT) {
             changePhase(EndpointPhase.SERVING);
@@ -317,11 +323,36 @@
     }
 
     /**
-     * Changes the phase of the endpoint.
+     * Refuses new work for a process of the endpoint that is leaving.
+     *
+     * @param instance identity of the process
+     */
+    public void endpointLeaving(String instance) {
+        leavingInstance = instance;
+        if (endpoint == null || endpoint.instance().equals(instance)) {
+            changePhase(EndpointPhase.LEAVING);
+        }
+    }
+
+    /**
+     * Returns whether a process of the endpoint is leaving.
+     *
+     * @param instance identity of the process
+     * @return true if it said so and has not announced itself since
+     */
+    public boolean isLeaving(String instance) {
+        return instance.equals(leavingInstance);
+    }
+
+    /**
+     * Changes the phase of the endpoint, unless its current process is leaving.
      *
      * @param phase the new phase
      */
     public void changePhase(EndpointPhase phase) {
+        if (phase != EndpointPhase.LEAVING && endpoint != null && isLeaving(endpoint.instance())) {
+            return;
+        }
         if (state.gatekeeper().phase() != phase) {
             perform(state.gatekeeper().changePhase(phase, loop.nowMicros()));
             advertise();
@@ -447,6 +478,10 @@
         if (received != null && received.instance().equals(endpoint.instance())) {
             logNotice(received);
             state.gatekeeper().recordNotice(received, nowMicros);
+            if (received.leaving() && !isLeaving(received.instance())) {
+                endpointLeaving(received.instance());
+                endpointListener.run();
+            }
         }
     }
 
@@ -489,7 +524,7 @@
             return;
         }
         LOG.info("endpoint phase={} before={}", next, advertised);
-        healthListener.run();
+        endpointListener.run();
         if (next == EndpointPhase.FAILING) {
             scheduleHealthCheck();
         }
--- a/node/src/main/java/org/anvillatch/node/endpoint/EndpointHandler.java
+++ b/node/src/main/java/org/anvillatch/node/endpoint/EndpointHandler.java
@@ -150,7 +150,10 @@
     }
 
     private void handleDeregistration(Response response, Callback callback) {
-        gatekeeperService.changePhase(EndpointPhase.LEAVING);
+        EndpointAnnouncement endpoint = gatekeeperService.endpoint();
+        if (endpoint != null) {
+            gatekeeperService.endpointLeaving(endpoint.instance());
+        }
         HttpResponses.json(response, ACCEPTED, endpointStatus(), callback);
     }
 
--- /dev/null
+++ b/node/src/test/java/org/anvillatch/node/call/GatekeeperServiceTest.java
@@ -0,0 +1,157 @@
+package org.anvillatch.node.call;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import com.codahale.metrics.MetricRegistry;
+import org.anvillatch.decision.admission.AdmissionFeatures;
+import org.anvillatch.decision.admission.Gatekeeper;
+import org.anvillatch.decision.configuration.ConfigurationReducer;
+import org.anvillatch.decision.drain.EndpointPhase;
+import org.anvillatch.decision.idempotency.IdempotencyLedger;
+import org.anvillatch.decision.membership.Member;
+import org.anvillatch.decision.membership.MemberStatus;
+import org.anvillatch.decision.membership.Membership;
+import org.anvillatch.decision.model.EndpointNotice;
+import org.anvillatch.decision.model.HostIdentity;
+import org.anvillatch.decision.model.OperationName;
+import org.anvillatch.decision.model.RefusalReason;
+import org.anvillatch.decision.quarantine.CrashSuspects;
+import org.anvillatch.decision.routing.ActiveRoutes;
+import org.anvillatch.decision.routing.EndpointSelector;
+import org.anvillatch.node.decisionlog.DecisionLog;
+import org.anvillatch.node.endpoint.EndpointAnnouncement;
+import org.anvillatch.node.endpoint.EndpointTransport;
+import org.anvillatch.node.loop.DecisionLoop;
+import org.anvillatch.node.loop.HostState;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class GatekeeperServiceTest {
+    private static final HostIdentity SELF = new HostIdentity("desk-1", 7);
+    private static final int SLOTS = 100;
+    private static final EndpointAnnouncement FIRST =
+            new EndpointAnnouncement("desk", "10.0.0.1:80", SLOTS, SLOTS, "i@1");
+    private static final EndpointAnnouncement SECOND =
+            new EndpointAnnouncement("desk", "10.0.0.1:80", SLOTS, SLOTS, "i@2");
+
+    private final DecisionLoop loop = new DecisionLoop();
+    private final HostState state = createState();
+    private final FakeTransport transport = new FakeTransport();
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final GatekeeperService service = new GatekeeperService(
+            loop,
+            state,
+            transport,
+            new CallDecisionRecorder(new DecisionLog(DecisionLog.Format.TEXT, metrics), "desk-1"),
+            metrics,
+            CrashSignal.CONNECTION_REFUSED);
+    private final List<CallAnswer> answers = new ArrayList<>();
+
+    /** Keeps the listeners of all requests; the test completes them. */
+    private static final class FakeTransport implements EndpointTransport {
+        private final List<AnswerListener> sent = new ArrayList<>();
+
+        @Override
+        public void start() {}
+
+        @Override
+        public void stop() {}
+
+        @Override
+        public void setMaxConnections(int connections) {}
+
+        @Override
+        public Runnable send(
+                EndpointAnnouncement endpoint,
+                String executionName,
+                DispatchMessage message,
+                long remainingMicros,
+                AnswerListener listener) {
+            sent.add(listener);
+            return () -> {};
+        }
+
+        private void answerFirst(EndpointTransport.ExchangeResult result, EndpointNotice notice) {
+            sent.remove(0).completed(new EndpointAnswer(result, 200, List.of(), CallBody.EMPTY, "", notice));
+        }
+    }
+
+    private static HostState createState() {
+        Member self = new Member(SELF, 0, "", "d", "desk", 0, EndpointPhase.ABSENT, MemberStatus.ALIVE, 0);
+        Membership membership = new Membership(self, List.of());
+        return new HostState(
+                membership,
+                new EndpointSelector(membership),
+                new Gatekeeper(AdmissionFeatures.ALL),
+                new IdempotencyLedger(SELF, 1),
+                new CrashSuspects(),
+                new ConfigurationReducer(),
+                new ActiveRoutes(),
+                new SplittableRandom(1));
+    }
+
+    private void dispatch() {
+        DispatchMessage message = new DispatchMessage(
+                new CallContext("r" + answers.size(), 0, "r" + answers.size(), 0, false, ""),
+                new OperationName("desk", "read"),
+                true,
+                CallBody.EMPTY,
+                "",
+                10_000_000,
+                0,
+                null);
+        service.dispatch(message, answers::add);
+    }
+
+    private void answerWith(EndpointNotice notice) {
+        dispatch();
+        transport.answerFirst(EndpointTransport.ExchangeResult.ANSWERED, notice);
+        answers.clear();
+    }
+
+    private void assertRefuses(RefusalReason reason) {
+        dispatch();
+        assertThat(transport.sent).isEmpty();
+        assertThat(answers.remove(0).reason()).isEqualTo(reason);
+    }
+
+    /** Guards against new work for an endpoint that says in its answers that it leaves (rule DRAIN, issue #26). */
+    @Test
+    void endpointThatLeavesAccordingToItsAnswerGetsNoNewWork() {
+        List<String> changes = new ArrayList<>();
+        service.setEndpointListener(() -> changes.add("changed"));
+        service.endpointAnnounced(FIRST);
+        answerWith(new EndpointNotice("i@1", Double.POSITIVE_INFINITY, true));
+        assertRefuses(RefusalReason.DRAINING);
+        assertThat(changes).hasSize(1);
+        assertThat(state.membership().self().phase()).isEqualTo(EndpointPhase.LEAVING);
+    }
+
+    /** Guards against a leaving endpoint that returns to service because its connections failed in between. */
+    @Test
+    void failedConnectionDoesNotEndTheLeaving() {
+        service.endpointAnnounced(FIRST);
+        dispatch();
+        service.endpointLeaving("i@1");
+        transport.answerFirst(EndpointTransport.ExchangeResult.NOT_CONNECTED, null);
+        answers.clear();
+        service.changePhase(EndpointPhase.SERVING);
+        assertRefuses(RefusalReason.DRAINING);
+    }
+
+    /** Guards against a new process of the endpoint that stays without work. */
+    @Test
+    void lateNoticeOfAnEarlierProcessIsIgnored() {
+        service.endpointAnnounced(FIRST);
+        dispatch();
+        service.endpointLeaving("i@1");
+        service.endpointAnnounced(SECOND);
+        transport.answerFirst(EndpointTransport.ExchangeResult.ANSWERED, new EndpointNotice("i@1", 0, true));
+        dispatch();
+        dispatch();
+        assertThat(transport.sent).hasSize(2);
+    }
+}
