Let senders tell a restarted node the limit and the leaving of its endpoint

Answers between hosts now carry a restriction while there is one, senders keep it by host name, beyond an incarnation of the host, and send it with each call; the gatekeeper takes it if the process of the endpoint is the same and, for a limit, if that process has not answered this node yet. Without a restriction it costs one byte a message.

LeavingEndpointTest.restartedNodeLearnsFromSendersThatTheEndpointIsLeaving on the commit before: expected 503 but was 200. GatekeeperServiceTest, EndpointSelectorTest and FrameCodecTest are extended.

--- a/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
@@ -100,6 +100,24 @@
         rateLimit.update(notice.maxRequestsPerSecond(), nowMicros);
     }
 
+    /**
+     * Returns whether the endpoint's limit on starts per second is in force.
+     *
+     * @return false if any number of executions may start
+     */
+    public boolean isRateLimited() {
+        return rateLimit.isLimited();
+    }
+
+    /**
+     * Returns the limit on starts per second that is in force.
+     *
+     * @return executions per second, positive infinity if there is no limit
+     */
+    public double limitPerSecond() {
+        return rateLimit.perSecond();
+    }
+
     /**
      * Sets the importances in use; the position of a request's importance among them determines its queue timeout and
      * the tolerated wait ratio of its nested calls.
--- a/decision/src/main/java/org/anvillatch/decision/admission/RateLimit.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/RateLimit.java
@@ -60,6 +60,15 @@
         return Double.isFinite(perSecond);
     }
 
+    /**
+     * Returns the limit in force.
+     *
+     * @return executions per second, positive infinity if there is none
+     */
+    double perSecond() {
+        return perSecond;
+    }
+
     /**
      * Returns whether an execution may start now.
      *
--- a/decision/src/main/java/org/anvillatch/decision/routing/EndpointSelector.java
+++ b/decision/src/main/java/org/anvillatch/decision/routing/EndpointSelector.java
@@ -11,6 +11,7 @@
 import org.anvillatch.decision.membership.Member;
 import org.anvillatch.decision.membership.MemberStatus;
 import org.anvillatch.decision.membership.Membership;
+import org.anvillatch.decision.model.EndpointNotice;
 import org.anvillatch.decision.model.HostIdentity;
 import org.anvillatch.decision.model.OperationName;
 import org.anvillatch.decision.model.RefusalReason;
@@ -41,6 +42,10 @@
 
     private final Membership membership;
     private final Map<HostIdentity, EndpointLoad> loads = new HashMap<>();
+
+    /** Restrictions of endpoints by host name, since an endpoint may outlast an incarnation of its host. */
+    private final Map<String, EndpointNotice> notices = new HashMap<>();
+
     private final Map<String, List<Member>> byService = new HashMap<>();
     private long indexedVersion = -1;
 
@@ -137,6 +142,7 @@
                 }
             }
             loads.keySet().removeIf(host -> membership.find(host.name()) == null);
+            notices.keySet().removeIf(name -> membership.find(name) == null);
         }
         return byService.getOrDefault(service, List.of());
     }
@@ -243,6 +249,22 @@
      */
     public void recordAnswer(Member host, LoadFeedback feedback, long nowMicros) {
         load(host).recordAnswer(feedback, nowMicros);
+        if (feedback.notice() != null) {
+            notices.put(host.host().name(), feedback.notice());
+        } else if (feedback.durationMicros() > 0) {
+            // Only an answer of the endpoint ends a restriction; its host may refuse work without knowing of it.
+            notices.remove(host.host().name());
+        }
+    }
+
+    /**
+     * Returns the restriction that a host's endpoint named in its latest answer to this host.
+     *
+     * @param hostName name of the host
+     * @return the restriction, or null if the endpoint named none
+     */
+    public EndpointNotice noticeOf(String hostName) {
+        return notices.get(hostName);
     }
 
     /**
--- a/decision/src/main/java/org/anvillatch/decision/routing/LoadFeedback.java
+++ b/decision/src/main/java/org/anvillatch/decision/routing/LoadFeedback.java
@@ -1,5 +1,6 @@
 package org.anvillatch.decision.routing;
 
+import org.anvillatch.decision.model.EndpointNotice;
 import org.anvillatch.decision.model.OperationName;
 
 /**
@@ -9,5 +10,7 @@
  * @param level shed level of the operation: the lowest rank that is admitted
  * @param inFlight number of running and queued executions
  * @param durationMicros duration of the execution in microseconds, 0 if it did not complete
+ * @param notice restriction that the endpoint names, null if it names none
  */
-public record LoadFeedback(OperationName operation, int level, int inFlight, long durationMicros) {}
+public record LoadFeedback(
+        OperationName operation, int level, int inFlight, long durationMicros, EndpointNotice notice) {}
--- a/decision/src/test/java/org/anvillatch/decision/routing/EndpointSelectorTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/routing/EndpointSelectorTest.java
@@ -8,6 +8,7 @@
 import org.anvillatch.decision.membership.Member;
 import org.anvillatch.decision.membership.MemberStatus;
 import org.anvillatch.decision.membership.Membership;
+import org.anvillatch.decision.model.EndpointNotice;
 import org.anvillatch.decision.model.HostIdentity;
 import org.anvillatch.decision.model.OperationName;
 import org.anvillatch.decision.model.RefusalReason;
@@ -141,7 +142,7 @@
         Member only = member("only", "d1", EndpointPhase.SERVING, MemberStatus.ALIVE);
         addMembers(only);
         selector.recordSent(only);
-        selector.recordAnswer(only, new LoadFeedback(OPERATION, 200, 5, 0), NOW);
+        selector.recordAnswer(only, new LoadFeedback(OPERATION, 200, 5, 0, null), NOW);
         assertThat(choose(100, Set.of(), Set.of()).refusal()).isEqualTo(RefusalReason.OVERLOAD);
         assertThat(choose(300, Set.of(), Set.of()).isChosen()).isTrue();
     }
@@ -151,7 +152,7 @@
         Member only = member("only", "d1", EndpointPhase.SERVING, MemberStatus.ALIVE);
         addMembers(only);
         selector.recordSent(only);
-        selector.recordAnswer(only, new LoadFeedback(OPERATION, 200, 5, 0), NOW);
+        selector.recordAnswer(only, new LoadFeedback(OPERATION, 200, 5, 0, null), NOW);
         EndpointSelector.Request request = new EndpointSelector.Request(OPERATION, 0, Set.of(), Set.of());
         assertThat(selector.choose(request, NOW + 1_000_000, random).isChosen()).isTrue();
     }
@@ -188,4 +189,29 @@
         selector.recordLeaving(leaving, NOW);
         assertThat(choose(0, Set.of(), Set.of()).host().host().name()).isEqualTo("far");
     }
+
+    /** Guards against a restriction that a sender forgets because the endpoint's host was restarted. */
+    @Test
+    void restrictionOutlastsAnIncarnationOfTheHost() {
+        Member first = member("host", "d1", EndpointPhase.SERVING, MemberStatus.ALIVE);
+        addMembers(first);
+        EndpointNotice notice = new EndpointNotice("i@1", 20, false);
+        selector.recordAnswer(first, new LoadFeedback(OPERATION, 0, 1, 10, notice), NOW);
+        Member second = new Member(
+                new HostIdentity("host", 2),
+                0,
+                "host",
+                "d1",
+                "glossary",
+                10,
+                EndpointPhase.SERVING,
+                MemberStatus.ALIVE,
+                0);
+        addMembers(second);
+        choose(0, Set.of(), Set.of());
+        selector.recordAnswer(second, new LoadFeedback(OPERATION, 0, 1, 0, null), NOW);
+        assertThat(selector.noticeOf("host")).isEqualTo(notice);
+        selector.recordAnswer(second, new LoadFeedback(OPERATION, 0, 1, 10, null), NOW);
+        assertThat(selector.noticeOf("host")).isNull();
+    }
 }
--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -165,7 +165,8 @@
         metrics.register("gatekeeper.in_flight", (Gauge<Integer>) gatekeeperService::inFlight);
         metrics.register("gatekeeper.level", (Gauge<Integer>)
                 () -> state.gatekeeper().status().level());
-        metrics.register("gatekeeper.limit_per_second", (Gauge<Double>) gatekeeperService::limitPerSecond);
+        metrics.register("gatekeeper.limit_per_second", (Gauge<Double>)
+                () -> state.gatekeeper().isRateLimited() ? state.gatekeeper().limitPerSecond() : 0);
         metrics.register("gatekeeper.limit", (Gauge<Integer>)
                 () -> state.gatekeeper().status().limit());
         metrics.register("configuration.version", (Gauge<Long>)
--- a/node/src/main/java/org/anvillatch/node/call/CallAnswer.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallAnswer.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.anvillatch.decision.model.EndpointNotice;
 import org.anvillatch.decision.model.Outcome;
 import org.anvillatch.decision.model.RefusalReason;
 import org.anvillatch.decision.quarantine.CrashSuspects;
@@ -43,13 +44,20 @@
      * @param durationMicros duration of the execution, 0 if it did not run
      * @param queuedMicros time that the call and its nested calls were queued for slots
      * @param endpointFault whether the endpoint itself failed the call, without having made any nested call
+     * @param notice restriction that the endpoint names, null if it names none
      */
-    public record LoadReport(int level, int inFlight, long durationMicros, long queuedMicros, boolean endpointFault) {
+    public record LoadReport(
+            int level,
+            int inFlight,
+            long durationMicros,
+            long queuedMicros,
+            boolean endpointFault,
+            EndpointNotice notice) {
         /** Report without any information. */
         public static final LoadReport NONE = new LoadReport(0, 0, 0, 0);
 
         /**
-         * Creates the report for a call that the endpoint itself did not fail.
+         * Creates the report for a call that the endpoint itself did not fail, without a restriction.
          *
          * @param level lowest rank admitted for the operation
          * @param inFlight number of executions that are running or queued
@@ -57,7 +65,7 @@
          * @param queuedMicros time that the call and its nested calls were queued for slots
          */
         public LoadReport(int level, int inFlight, long durationMicros, long queuedMicros) {
-            this(level, inFlight, durationMicros, queuedMicros, false);
+            this(level, inFlight, durationMicros, queuedMicros, false, null);
         }
     }
 
--- a/node/src/main/java/org/anvillatch/node/call/CallRouter.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallRouter.java
@@ -196,7 +196,8 @@
                     call.fingerprint(),
                     remaining,
                     budget.takeShare(),
-                    call.head());
+                    call.head(),
+                    state.selector().noticeOf(host.host().name()));
             state.selector().recordSent(host);
             if (host.host().equals(state.membership().self().host())) {
                 dispatchLocally(host, message);
@@ -235,7 +236,8 @@
             CallAnswer.LoadReport load = answer.report();
             // Calls that did not complete are excluded: a quick refusal or failure would make the endpoint look fast.
             long duration = answer.outcome() == Outcome.COMPLETE ? load.durationMicros() : 0;
-            LoadFeedback feedback = new LoadFeedback(call.operation(), load.level(), load.inFlight(), duration);
+            LoadFeedback feedback =
+                    new LoadFeedback(call.operation(), load.level(), load.inFlight(), duration, load.notice());
             state.selector().recordAnswer(host, feedback, now);
             if (answer.reason() == RefusalReason.DRAINING || answer.reason() == RefusalReason.NO_ENDPOINT) {
                 state.selector().recordLeaving(host, now);
--- a/node/src/main/java/org/anvillatch/node/call/DispatchMessage.java
+++ b/node/src/main/java/org/anvillatch/node/call/DispatchMessage.java
@@ -1,5 +1,6 @@
 package org.anvillatch.node.call;
 
+import org.anvillatch.decision.model.EndpointNotice;
 import org.anvillatch.decision.model.OperationName;
 import org.anvillatch.node.peer.PeerMessage;
 
@@ -14,6 +15,8 @@
  * @param remainingMicros time left until the deadline, in microseconds
  * @param retries maximum number of retries by nested calls
  * @param head head of a request that is forwarded unchanged, or null
+ * @param notice restriction that the endpoint of the chosen host named in its latest answer to the sender, or null; it
+ *     tells a restarted host what it has forgotten
  */
 public record DispatchMessage(
         CallContext context,
@@ -23,5 +26,6 @@
         String fingerprint,
         long remainingMicros,
         int retries,
-        RequestHead head)
+        RequestHead head,
+        EndpointNotice notice)
         implements PeerMessage {}
--- a/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
+++ b/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
@@ -83,6 +83,9 @@
     private EndpointAnnouncement endpoint;
     private EndpointNotice notice = EndpointNotice.unrestricted("");
 
+    /** Whether the current process of the endpoint has answered this node. */
+    private boolean answered;
+
     /** The process of the endpoint that is leaving, null if none is. */
     private String leavingInstance;
 
@@ -238,6 +241,7 @@
         long number = nextExecution++;
         Execution execution = new Execution(number, message, reply, now);
         executions.put(number, execution);
+        applySenderNotice(message.notice());
         if (endpoint != null && !endpoint.service().equals(message.operation().service())) {
             refuse(execution, RefusalReason.NO_ENDPOINT, 0);
         } else if (state.isQuarantined(message.fingerprint())) {
@@ -316,6 +320,7 @@
             return;
         }
         endpoint = announcement;
+        answered = false;
         client.setMaxConnections(announcement.connections());
         state.gatekeeper().endpointAnnounced(announcement.slots());
         applyDrain();
@@ -435,7 +440,8 @@
         metrics.counter("gatekeeper.refused." + reason.wireName()).inc();
         String host = state.membership().self().host().name();
         long queuedMicros = loop.nowMicros() - execution.arrivedMicros;
-        CallAnswer.LoadReport report = new CallAnswer.LoadReport(level, executionsInFlight(), 0, queuedMicros);
+        CallAnswer.LoadReport report =
+                new CallAnswer.LoadReport(level, executionsInFlight(), 0, queuedMicros, false, restriction());
         String detail = "host " + host + " refuses: " + reason.wireName();
         execution.reply.accept(CallAnswer.refused(reason, detail, report, execution.budget.remaining(), host));
     }
@@ -473,18 +479,46 @@
         updateHealth();
     }
 
-    /** Applies a notice of the current endpoint; those of an earlier process and null are ignored. */
+    /** Applies a notice in an answer of the endpoint; that of an earlier process and null are ignored. */
     private void applyNotice(EndpointNotice received, long nowMicros) {
         if (received != null && received.instance().equals(endpoint.instance())) {
-            logNotice(received);
-            state.gatekeeper().recordNotice(received, nowMicros);
-            if (received.leaving() && !isLeaving(received.instance())) {
-                endpointLeaving(received.instance());
-                endpointListener.run();
-            }
+            answered = true;
+            recordNotice(received, nowMicros);
+        }
+    }
+
+    /**
+     * Applies a notice that a sender got from the current endpoint before this node was restarted. The limit is applied
+     * only until the endpoint has answered this node, which then knows better.
+     */
+    private void applySenderNotice(EndpointNotice known) {
+        if (known == null || endpoint == null || !known.instance().equals(endpoint.instance())) {
+            return;
+        }
+        if (!answered && !state.gatekeeper().isRateLimited() || known.leaving() && !isLeaving(known.instance())) {
+            recordNotice(known, loop.nowMicros());
         }
     }
 
+    private void recordNotice(EndpointNotice received, long nowMicros) {
+        logNotice(received);
+        state.gatekeeper().recordNotice(received, nowMicros);
+        if (received.leaving() && !isLeaving(received.instance())) {
+            endpointLeaving(received.instance());
+            endpointListener.run();
+        }
+    }
+
+    /** Returns the restriction that the current endpoint names, or null if it names none. */
+    private EndpointNotice restriction() {
+        if (endpoint == null) {
+            return null;
+        }
+        EndpointNotice current = new EndpointNotice(
+                endpoint.instance(), state.gatekeeper().limitPerSecond(), isLeaving(endpoint.instance()));
+        return current.isRestriction() ? current : null;
+    }
+
     /** Logs a notice of the endpoint if it differs from the previous one by more than a small change of the limit. */
     private void logNotice(EndpointNotice next) {
         double limit = notice.maxRequestsPerSecond();
@@ -502,15 +536,6 @@
         }
     }
 
-    /**
-     * Returns the number of requests per second that the endpoint accepts.
-     *
-     * @return the limit that the endpoint named, 0 if it names none
-     */
-    public double limitPerSecond() {
-        return notice.isLimited() ? notice.maxRequestsPerSecond() : 0;
-    }
-
     /** Advertises the endpoint again if it has started or stopped failing, or if its service time has changed. */
     private void updateHealth() {
         EndpointPhase next = state.gatekeeper().advertisedPhase(loop.nowMicros());
@@ -653,8 +678,8 @@
         int unspent = execution.budget.remaining();
         long queuedMicros = execution.startedMicros - execution.arrivedMicros + execution.nestedStats.queuedMicros();
         boolean endpointFault = isEndpointFault(execution, answer) && !execution.hasNestedCalls();
-        CallAnswer.LoadReport report =
-                new CallAnswer.LoadReport(level, executionsInFlight(), durationMicros, queuedMicros, endpointFault);
+        CallAnswer.LoadReport report = new CallAnswer.LoadReport(
+                level, executionsInFlight(), durationMicros, queuedMicros, endpointFault, restriction());
         return switch (answer.result()) {
             case ANSWERED -> {
                 Outcome outcome = answer.status() >= FIRST_SERVER_ERROR_STATUS ? Outcome.FAILED : Outcome.COMPLETE;
--- a/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
+++ b/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.anvillatch.decision.model.EndpointNotice;
 import org.anvillatch.decision.model.OperationName;
 import org.anvillatch.decision.model.Outcome;
 import org.anvillatch.decision.model.RefusalReason;
@@ -59,6 +60,7 @@
                         .packString(message.head().target());
                 pack(packer, message.head().headers());
             }
+            pack(packer, message.notice());
             return packer.toByteArray();
         }
     }
@@ -86,7 +88,15 @@
                 head = new RequestHead(unpacker.unpackString(), unpacker.unpackString(), unpackHeaders(unpacker));
             }
             return new DispatchMessage(
-                    context, operation, idempotent, body, fingerprint, remainingMicros, retries, head);
+                    context,
+                    operation,
+                    idempotent,
+                    body,
+                    fingerprint,
+                    remainingMicros,
+                    retries,
+                    head,
+                    unpackNotice(unpacker));
         }
     }
 
@@ -102,6 +112,7 @@
                     .packLong(answer.report().durationMicros())
                     .packLong(answer.report().queuedMicros())
                     .packBoolean(answer.report().endpointFault());
+            pack(packer, answer.report().notice());
             pack(packer, answer.firstOutcome());
             packer.packString(answer.host()).packString(answer.detail());
             packer.packArrayHeader(answer.suspicions().size());
@@ -125,7 +136,8 @@
                     unpacker.unpackInt(),
                     unpacker.unpackLong(),
                     unpacker.unpackLong(),
-                    unpacker.unpackBoolean());
+                    unpacker.unpackBoolean(),
+                    unpackNotice(unpacker));
             Outcome firstOutcome = unpackEnum(unpacker, Outcome.values());
             String host = unpacker.unpackString();
             String detail = unpacker.unpackString();
@@ -163,6 +175,22 @@
         return new CallBody(contentType, unpacker.readPayload(length));
     }
 
+    private static void pack(MessageBufferPacker packer, EndpointNotice notice) throws IOException {
+        if (notice == null) {
+            packer.packNil();
+        } else {
+            packer.packString(notice.instance())
+                    .packDouble(notice.maxRequestsPerSecond())
+                    .packBoolean(notice.leaving());
+        }
+    }
+
+    private static EndpointNotice unpackNotice(MessageUnpacker unpacker) throws IOException {
+        return unpacker.tryUnpackNil()
+                ? null
+                : new EndpointNotice(unpacker.unpackString(), unpacker.unpackDouble(), unpacker.unpackBoolean());
+    }
+
     private static void pack(MessageBufferPacker packer, List<HeaderField> headers) throws IOException {
         packer.packArrayHeader(headers.size());
         for (HeaderField field : headers) {
--- a/node/src/test/java/org/anvillatch/node/call/GatekeeperServiceTest.java
+++ b/node/src/test/java/org/anvillatch/node/call/GatekeeperServiceTest.java
@@ -94,6 +94,10 @@
     }
 
     private void dispatch() {
+        dispatch(null);
+    }
+
+    private void dispatch(EndpointNotice knownToSender) {
         DispatchMessage message = new DispatchMessage(
                 new CallContext("r" + answers.size(), 0, "r" + answers.size(), 0, false, ""),
                 new OperationName("desk", "read"),
@@ -102,7 +106,8 @@
                 "",
                 10_000_000,
                 0,
-                null);
+                null,
+                knownToSender);
         service.dispatch(message, answers::add);
     }
 
@@ -154,4 +159,44 @@
         dispatch();
         assertThat(transport.sent).hasSize(2);
     }
+
+    /** Guards against a burst at an endpoint whose node was restarted and does not know its limit any more. */
+    @Test
+    void restartedNodeLearnsTheLimitFromItsSenders() {
+        service.endpointAnnounced(FIRST);
+        for (int request = 0; request < 20; request++) {
+            dispatch(new EndpointNotice("i@1", 10, false));
+        }
+        assertThat(transport.sent.size()).isAtMost(3);
+    }
+
+    /** Guards against a sender with an old restriction that limits an endpoint without need. */
+    @Test
+    void endpointKnowsItsLimitBetterThanSenders() {
+        service.endpointAnnounced(FIRST);
+        answerWith(EndpointNotice.unrestricted("i@1"));
+        for (int request = 0; request < 20; request++) {
+            dispatch(new EndpointNotice("i@1", 10, false));
+        }
+        assertThat(transport.sent).hasSize(20);
+    }
+
+    @Test
+    void restrictionOfAnEarlierProcessIsIgnored() {
+        service.endpointAnnounced(SECOND);
+        for (int request = 0; request < 20; request++) {
+            dispatch(new EndpointNotice("i@1", 0, true));
+        }
+        assertThat(transport.sent).hasSize(20);
+    }
+
+    /** Guards against new work for a leaving endpoint after its node, which knew of the leaving, was restarted. */
+    @Test
+    void restartedNodeLearnsFromSendersThatTheEndpointIsLeaving() {
+        service.endpointAnnounced(FIRST);
+        answerWith(EndpointNotice.unrestricted("i@1"));
+        dispatch(new EndpointNotice("i@1", Double.POSITIVE_INFINITY, true));
+        assertThat(transport.sent).isEmpty();
+        assertThat(answers.remove(0).report().notice().leaving()).isTrue();
+    }
 }
--- a/node/src/test/java/org/anvillatch/node/peer/FrameCodecTest.java
+++ b/node/src/test/java/org/anvillatch/node/peer/FrameCodecTest.java
@@ -14,6 +14,7 @@
 import org.anvillatch.decision.drain.EndpointPhase;
 import org.anvillatch.decision.membership.Member;
 import org.anvillatch.decision.membership.MemberStatus;
+import org.anvillatch.decision.model.EndpointNotice;
 import org.anvillatch.decision.model.HostIdentity;
 import org.anvillatch.decision.model.OperationName;
 import org.anvillatch.node.call.CallAnswer;
@@ -76,19 +77,24 @@
                 "00ff",
                 900_000,
                 2,
-                new RequestHead("GET", "/a/b?c=d", List.of(new HeaderField("Accept", "*/*"))));
+                new RequestHead("GET", "/a/b?c=d", List.of(new HeaderField("Accept", "*/*"))),
+                new EndpointNotice("i@1", 24.5, true));
         DispatchMessage decoded = (DispatchMessage) encodeAndDecode(message);
         assertThat(decoded.context()).isEqualTo(message.context());
         assertThat(decoded.head()).isEqualTo(message.head());
+        assertThat(decoded.notice()).isEqualTo(message.notice());
         assertThat(decoded.operation()).isEqualTo(message.operation());
         assertThat(decoded.body().content()).isEqualTo(message.body().content());
     }
 
     @Test
     void answerRoundTrips() throws FrameException {
-        CallAnswer answer = CallAnswer.unknown("no answer", "host", List.of());
+        CallAnswer.LoadReport report =
+                new CallAnswer.LoadReport(1, 2, 3, 4, true, new EndpointNotice("i@1", Double.POSITIVE_INFINITY, true));
+        CallAnswer answer = CallAnswer.unknown("no answer", "host", List.of()).withReport(report);
         CallAnswer decoded = (CallAnswer) encodeAndDecode(answer);
         assertThat(decoded.outcome()).isEqualTo(answer.outcome());
+        assertThat(decoded.report()).isEqualTo(report);
         assertThat(decoded.detail()).isEqualTo(answer.detail());
     }
 
--- a/testbed/src/main/java/org/anvillatch/testbed/capacity/CapacityMain.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/capacity/CapacityMain.java
@@ -218,7 +218,7 @@
         RouteChoice choice = selector.choose(request, iteration, random);
         if (choice.isChosen()) {
             selector.recordSent(choice.host());
-            selector.recordAnswer(choice.host(), new LoadFeedback(operation, 0, 5, 1_000), iteration);
+            selector.recordAnswer(choice.host(), new LoadFeedback(operation, 0, 5, 1_000, null), iteration);
         }
     }
 
