Keep the endpoint of a stopping node out of service despite its heartbeats

GatekeeperServiceTest.endpointOfAStoppingNodeDoesNotReturn failed before (a call was started) and passes.

--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -245,7 +245,7 @@
         LOG.info("leaving: new work is refused, {} calls are in flight", router.inFlight());
         callHandler.refuseRootRequests();
         loop.execute(() -> {
-            gatekeeperService.changePhase(EndpointPhase.LEAVING);
+            gatekeeperService.stopAdmission();
             membershipService.leave();
         });
         Thread.sleep(Math.min(LEAVE_SETTLE_MILLIS, settings.stopMillis()));
--- a/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
+++ b/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
@@ -89,6 +89,7 @@
     /** The process of the endpoint that is leaving, null if none is. */
     private String leavingInstance;
 
+    private boolean stopping;
     private boolean tickScheduled;
     private long nextExecution = 1;
     private long crashCount;
@@ -309,6 +310,9 @@
      * @param announcement the announcement
      */
     public void endpointAnnounced(EndpointAnnouncement announcement) {
+        if (stopping) {
+            return;
+        }
         leavingInstance = null;
         boolean sameInstance = endpoint != null && endpoint.instance().equals(announcement.instance());
         if (sameInstance && state.gatekeeper().phase() == EndpointPhase.SILENT) {
@@ -339,6 +343,12 @@
         }
     }
 
+    /** Refuses all new work from now on, whatever the endpoint announces, because this node stops. */
+    public void stopAdmission() {
+        stopping = true;
+        changePhase(EndpointPhase.LEAVING);
+    }
+
     /**
      * Returns whether a process of the endpoint is leaving.
      *
@@ -350,12 +360,13 @@
     }
 
     /**
-     * Changes the phase of the endpoint, unless its current process is leaving.
+     * Changes the phase of the endpoint, unless its current process is leaving or this node stops.
      *
      * @param phase the new phase
      */
     public void changePhase(EndpointPhase phase) {
-        if (phase != EndpointPhase.LEAVING && endpoint != null && isLeaving(endpoint.instance())) {
+        boolean leaving = stopping || endpoint != null && isLeaving(endpoint.instance());
+        if (leaving && phase != EndpointPhase.LEAVING) {
             return;
         }
         if (state.gatekeeper().phase() != phase) {
--- a/node/src/test/java/org/anvillatch/node/call/GatekeeperServiceTest.java
+++ b/node/src/test/java/org/anvillatch/node/call/GatekeeperServiceTest.java
@@ -199,4 +199,15 @@
         assertThat(transport.sent).isEmpty();
         assertThat(answers.remove(0).report().notice().leaving()).isTrue();
     }
+
+    /** Guards against a heartbeat that puts the endpoint of a stopping node back into service (incident inc-0e98). */
+    @Test
+    void endpointOfAStoppingNodeDoesNotReturn() {
+        service.endpointAnnounced(FIRST);
+        service.stopAdmission();
+        service.endpointAnnounced(FIRST);
+        assertRefuses(RefusalReason.DRAINING);
+        service.endpointAnnounced(SECOND);
+        assertRefuses(RefusalReason.DRAINING);
+    }
 }
