Advertise only the slots that an endpoint's limit can fill

While three of four endpoints named a limit, senders went on preferring them: they advertised all their slots, of which hardly any were in use, so calls queued there, were refused and went on to another host. The node now advertises the concurrency that the limit permits (Little's law), and senders balance by it as by any other utilization.

--- a/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
@@ -100,6 +100,17 @@
         rateLimit.update(notice.maxRequestsPerSecond(), nowMicros);
     }
 
+    /**
+     * Returns the slots to advertise to other hosts, which balance calls by the utilization of slots.
+     *
+     * @return the slots announced by the endpoint, or fewer if its limit on starts per second cannot fill them
+     */
+    public int advertisedSlots() {
+        return rateLimit.isLimited()
+                ? Math.min(limit.slots(), rateLimit.concurrency(meanDurationMicros))
+                : limit.slots();
+    }
+
     /**
      * Returns whether the endpoint's limit on starts per second is in force.
      *
--- a/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
+++ b/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
@@ -54,6 +54,9 @@
     /** Minimum change of the endpoint's limit that is logged, as a fraction of the limit. */
     private static final double LOGGED_LIMIT_CHANGE = 0.1;
 
+    /** Minimum change of the slots that is advertised to other hosts, as a fraction of the advertised slots. */
+    private static final double ADVERTISED_SLOTS_CHANGE = 0.25;
+
     private static final int MAX_RECENTLY_ANSWERED = 1_000;
 
     /** Period of the gatekeeper's timer while it needs one, in microseconds. */
@@ -131,7 +134,8 @@
     /**
      * Sets the listener for changes of the endpoint that its answers show.
      *
-     * @param listener called on the loop when the endpoint starts or stops failing, or says that it is leaving
+     * @param listener called on the loop when the endpoint starts or stops failing, says that it is leaving,
+     *     or can take much more or less work than it advertises
      */
     public void setEndpointListener(Runnable listener) {
         endpointListener = listener;
@@ -384,12 +388,14 @@
     }
 
     private void advertise() {
-        GatekeeperStatus status = state.gatekeeper().status();
         String service = endpoint == null ? "" : endpoint.service();
         EndpointPhase phase = state.gatekeeper().advertisedPhase(loop.nowMicros());
         state.membership()
                 .advertiseEndpoint(
-                        service, status.slots(), phase, state.gatekeeper().serviceTimeMicros());
+                        service,
+                        state.gatekeeper().advertisedSlots(),
+                        phase,
+                        state.gatekeeper().serviceTimeMicros());
     }
 
     /**
@@ -518,6 +524,11 @@
             endpointLeaving(received.instance());
             endpointListener.run();
         }
+        int advertised = state.membership().self().slots();
+        if (Math.abs(state.gatekeeper().advertisedSlots() - advertised) > advertised * ADVERTISED_SLOTS_CHANGE) {
+            advertise();
+            endpointListener.run();
+        }
     }
 
     /** Returns the restriction that the current endpoint names, or null if it names none. */
--- a/node/src/test/java/org/anvillatch/node/call/GatekeeperServiceTest.java
+++ b/node/src/test/java/org/anvillatch/node/call/GatekeeperServiceTest.java
@@ -210,4 +210,14 @@
         service.endpointAnnounced(SECOND);
         assertRefuses(RefusalReason.DRAINING);
     }
+
+    /** Load pattern: one endpoint of a service names a limit, and senders prefer endpoints whose slots are free. */
+    @Test
+    void advertisesOnlySlotsThatTheLimitCanFill() {
+        service.endpointAnnounced(FIRST);
+        answerWith(EndpointNotice.unrestricted("i@1"));
+        assertThat(state.membership().self().slots()).isEqualTo(SLOTS);
+        answerWith(new EndpointNotice("i@1", 10, false));
+        assertThat(state.membership().self().slots()).isEqualTo(1);
+    }
 }
