Estimate the latency of an operation anew when it refuses all work

Cause: the executions that spanned the freeze raised the mean latency above every deadline, and work refused for it yields no sample that could correct it. Ruled out: levels and queues (reason), limits (none was in force at vaga).

--- a/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
@@ -60,7 +60,7 @@
     private ServiceTimeEstimator serviceTime = new ServiceTimeEstimator();
     private final CallTreeLimits treeLimits = new CallTreeLimits();
     private final DownstreamLevels downstream = new DownstreamLevels();
-    private final Map<OperationName, Double> meanLatencyMicros = new HashMap<>();
+    private final Map<OperationName, LatencyEstimate> latencies = new HashMap<>();
     private ConcurrencyLimit limit = new ConcurrencyLimit(1);
     private RateLimit rateLimit = new RateLimit();
     private double meanDurationMicros;
@@ -223,8 +223,7 @@
         if (result == ExecutionResult.ANSWERED) {
             limit.recordSuccess();
             serviceTime.addSample(Math.max(0, durationMicros - nestedCalls.executionMicros()));
-            meanLatencyMicros.merge(
-                    operation, (double) durationMicros, (old, latest) -> old + (latest - old) * LATENCY_EWMA_WEIGHT);
+            recordLatency(operation, durationMicros, nowMicros);
             double weight = meanDurationMicros == 0 ? 1 : LATENCY_EWMA_WEIGHT;
             meanDurationMicros += (durationMicros - meanDurationMicros) * weight;
         } else if (result.lowersLimit()) {
@@ -233,6 +232,15 @@
         return startQueued(nowMicros);
     }
 
+    private void recordLatency(OperationName operation, long durationMicros, long nowMicros) {
+        LatencyEstimate estimate = latencies.get(operation);
+        if (estimate == null) {
+            latencies.put(operation, new LatencyEstimate(durationMicros, nowMicros));
+        } else {
+            estimate.addSample(durationMicros, nowMicros);
+        }
+    }
+
     /**
      * Removes cancelled work from the queue.
      *
@@ -353,7 +361,8 @@
     }
 
     private boolean cannotMeetDeadline(Work work, long nowMicros) {
-        double latency = features.dropDoomed() ? meanLatencyMicros.getOrDefault(work.operation(), 0.0) : 0;
+        LatencyEstimate estimate = features.dropDoomed() ? latencies.get(work.operation()) : null;
+        double latency = estimate == null ? 0 : estimate.micros();
         return work.deadlineMicros() - nowMicros <= latency * MIN_REMAINING_RATIO;
     }
 
@@ -363,17 +372,21 @@
      */
     private boolean exceedsQueueTimeout(AdmissionQueue.QueuedWork entry, long nowMicros) {
         Work work = entry.work();
-        Double latency = meanLatencyMicros.get(work.operation());
+        LatencyEstimate latency = latencies.get(work.operation());
         if (work.nested() || latency == null) {
             return false;
         }
         double ratio = MIN_QUEUE_TIMEOUT_RATIO
                 + (1 - MIN_QUEUE_TIMEOUT_RATIO) * treeLimits.relativeImportance(Rank.importance(work.rank()));
-        return nowMicros - entry.arrivedMicros() > Math.max(MIN_QUEUE_TIMEOUT_MICROS, latency * ratio);
+        return nowMicros - entry.arrivedMicros() > Math.max(MIN_QUEUE_TIMEOUT_MICROS, latency.micros() * ratio);
     }
 
     private AdmissionAction refuse(Work work, RefusalReason reason, long nowMicros) {
         shedLevel.recordDeparture();
+        LatencyEstimate estimate = latencies.get(work.operation());
+        if (reason == RefusalReason.DEADLINE && estimate != null) {
+            estimate.recordRefusal(nowMicros);
+        }
         return new AdmissionAction.Refuse(work.execution(), reason, shedLevelFor(work.operation(), nowMicros));
     }
 
--- a/decision/src/test/java/org/anvillatch/decision/admission/GatekeeperTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/admission/GatekeeperTest.java
@@ -204,4 +204,30 @@
             }
         }
     }
+
+    /**
+     * Guards against an endpoint that refuses all work for good after its host was frozen: the executions that spanned
+     * the freeze made the latency estimate exceed every deadline, and refused work does not correct it.
+     */
+    @Test
+    void latencyThatRefusesAllWorkIsEstimatedAnew() {
+        long deadlineMicros = 700_000;
+        long now = 0;
+        gatekeeper.endpointAnnounced(4);
+        for (int execution = 0; execution < 20; execution++) {
+            gatekeeper.offer(new Work(execution, OPERATION, LOW_RANK, now + FAR_DEADLINE_MICROS), now);
+            now += 2_000_000;
+            gatekeeper.recordEnd(execution, ExecutionResult.ANSWERED, 2_000_000, OPERATION, NestedCallStats.NONE, now);
+        }
+        int completed = 0;
+        for (int execution = 100; execution < 600; execution++) {
+            now += 10_000;
+            Work work = new Work(execution, OPERATION, LOW_RANK, now + deadlineMicros);
+            if (gatekeeper.offer(work, now).contains(new AdmissionAction.Start(execution))) {
+                gatekeeper.recordEnd(execution, ExecutionResult.ANSWERED, 20_000, OPERATION, NestedCallStats.NONE, now);
+                completed++;
+            }
+        }
+        assertThat(completed).isAtLeast(300);
+    }
 }
