--- a/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
+++ b/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
@@ -112,7 +112,6 @@
                     .packLong(answer.report().durationMicros())
                     .packLong(answer.report().queuedMicros())
                     .packBoolean(answer.report().endpointFault());
-            pack(packer, answer.report().notice());
             pack(packer, answer.firstOutcome());
             packer.packString(answer.host()).packString(answer.detail());
             packer.packArrayHeader(answer.suspicions().size());
@@ -120,6 +119,7 @@
                 packer.packString(suspicion.fingerprint()).packString(suspicion.crash());
             }
             pack(packer, answer.headers());
+            pack(packer, answer.report().notice());
             return packer.toByteArray();
         }
     }
@@ -131,13 +131,11 @@
             int status = unpacker.unpackInt();
             CallBody body = unpackBody(unpacker);
             int unspentRetries = unpacker.unpackInt();
-            CallAnswer.LoadReport report = new CallAnswer.LoadReport(
-                    unpacker.unpackInt(),
-                    unpacker.unpackInt(),
-                    unpacker.unpackLong(),
-                    unpacker.unpackLong(),
-                    unpacker.unpackBoolean(),
-                    unpackNotice(unpacker));
+            int level = unpacker.unpackInt();
+            int inFlight = unpacker.unpackInt();
+            long durationMicros = unpacker.unpackLong();
+            long queuedMicros = unpacker.unpackLong();
+            boolean endpointFault = unpacker.unpackBoolean();
             Outcome firstOutcome = unpackEnum(unpacker, Outcome.values());
             String host = unpacker.unpackString();
             String detail = unpacker.unpackString();
@@ -146,6 +144,9 @@
             for (int index = 0; index < count; index++) {
                 suspicions.add(new CrashSuspects.Suspicion(unpacker.unpackString(), unpacker.unpackString()));
             }
+            List<HeaderField> headers = unpackHeaders(unpacker);
+            CallAnswer.LoadReport report = new CallAnswer.LoadReport(
+                    level, inFlight, durationMicros, queuedMicros, endpointFault, unpackNotice(unpacker));
             return new CallAnswer(
                     outcome,
                     reason,
@@ -157,7 +158,7 @@
                     host,
                     detail,
                     suspicions,
-                    unpackHeaders(unpacker));
+                    headers);
         }
     }
 
@@ -185,10 +186,12 @@
         }
     }
 
+    /** Unpacks the last component of a message, which earlier versions of a node do not send. */
     private static EndpointNotice unpackNotice(MessageUnpacker unpacker) throws IOException {
-        return unpacker.tryUnpackNil()
-                ? null
-                : new EndpointNotice(unpacker.unpackString(), unpacker.unpackDouble(), unpacker.unpackBoolean());
+        if (!unpacker.hasNext() || unpacker.tryUnpackNil()) {
+            return null;
+        }
+        return new EndpointNotice(unpacker.unpackString(), unpacker.unpackDouble(), unpacker.unpackBoolean());
     }
 
     private static void pack(MessageBufferPacker packer, List<HeaderField> headers) throws IOException {
--- a/node/src/test/java/org/anvillatch/node/peer/FrameCodecTest.java
+++ b/node/src/test/java/org/anvillatch/node/peer/FrameCodecTest.java
@@ -1,6 +1,8 @@
 package org.anvillatch.node.peer;
 
+import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 
@@ -98,6 +100,14 @@
         assertThat(decoded.detail()).isEqualTo(answer.detail());
     }
 
+    /** Guards against a rolling update in which nodes of the earlier version are not understood. */
+    @Test
+    void answerOfAnEarlierVersionNamesNoRestriction() throws IOException {
+        byte[] bytes = CallCodec.encode(CallAnswer.unknown("no answer", "host", List.of()));
+        byte[] withoutNotice = Arrays.copyOf(bytes, bytes.length - 1);
+        assertThat(CallCodec.decodeAnswer(withoutNotice).report()).isEqualTo(CallAnswer.LoadReport.NONE);
+    }
+
     @Test
     void incompleteFrameIsNotConsumed() throws FrameException {
         ByteBuffer bytes = FrameCodec.encode(new Frame(1, false, new ControlMessages.StatusRequest()));
