Keep one copy of the latency average, and advertise no slots while the node stops

The mean duration and the latencies of operations are the same average; LatencyEstimate now serves both. A stopping node announced its slots once more for the first answer after it had left.

--- a/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
@@ -50,8 +50,6 @@
     /** Minimum queue timeout of any root request, in microseconds: two ticks of the host. */
     private static final long MIN_QUEUE_TIMEOUT_MICROS = 20_000;
 
-    private static final double LATENCY_EWMA_WEIGHT = 0.1;
-
     private final AdmissionFeatures features;
     private final AdmissionQueue queue = new AdmissionQueue();
     private final ShedLevel shedLevel = new ShedLevel();
@@ -63,7 +61,10 @@
     private final Map<OperationName, LatencyEstimate> latencies = new HashMap<>();
     private ConcurrencyLimit limit = new ConcurrencyLimit(1);
     private RateLimit rateLimit = new RateLimit();
-    private double meanDurationMicros;
+
+    /** Mean duration of all executions, null before the first answer. */
+    private LatencyEstimate duration;
+
     private EndpointPhase phase = EndpointPhase.ABSENT;
 
     /**
@@ -83,7 +84,7 @@
     public void endpointAnnounced(int slots) {
         limit = new ConcurrencyLimit(slots);
         rateLimit = new RateLimit();
-        meanDurationMicros = 0;
+        duration = null;
         treeLimits.reset(slots);
         health = new EndpointHealth();
         serviceTime = new ServiceTimeEstimator();
@@ -106,9 +107,7 @@
      * @return the slots announced by the endpoint, or fewer if its limit on starts per second cannot fill them
      */
     public int advertisedSlots() {
-        return rateLimit.isLimited()
-                ? Math.min(limit.slots(), rateLimit.concurrency(meanDurationMicros))
-                : limit.slots();
+        return Math.min(limit.slots(), rateLimit.concurrency(meanDurationMicros()));
     }
 
     /**
@@ -224,8 +223,6 @@
             limit.recordSuccess();
             serviceTime.addSample(Math.max(0, durationMicros - nestedCalls.executionMicros()));
             recordLatency(operation, durationMicros, nowMicros);
-            double weight = meanDurationMicros == 0 ? 1 : LATENCY_EWMA_WEIGHT;
-            meanDurationMicros += (durationMicros - meanDurationMicros) * weight;
         } else if (result.lowersLimit()) {
             limit.recordRejection(nowMicros);
         }
@@ -233,12 +230,9 @@
     }
 
     private void recordLatency(OperationName operation, long durationMicros, long nowMicros) {
-        LatencyEstimate estimate = latencies.get(operation);
-        if (estimate == null) {
-            latencies.put(operation, new LatencyEstimate(durationMicros, nowMicros));
-        } else {
-            estimate.addSample(durationMicros, nowMicros);
-        }
+        duration = LatencyEstimate.withSample(duration, durationMicros, nowMicros);
+        latencies.compute(
+                operation, (name, estimate) -> LatencyEstimate.withSample(estimate, durationMicros, nowMicros));
     }
 
     /**
@@ -413,9 +407,11 @@
      * that the rate limit permits. The queue is sized by it, so that the queue time is bounded under either limit.
      */
     private int concurrency() {
-        return rateLimit.isLimited()
-                ? Math.min(limit.limit(), rateLimit.concurrency(meanDurationMicros))
-                : limit.limit();
+        return Math.min(limit.limit(), rateLimit.concurrency(meanDurationMicros()));
+    }
+
+    private double meanDurationMicros() {
+        return duration == null ? 0 : duration.micros();
     }
 
     private int rootCapacity() {
--- a/decision/src/main/java/org/anvillatch/decision/admission/LatencyEstimate.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/LatencyEstimate.java
@@ -1,7 +1,7 @@
 package org.anvillatch.decision.admission;
 
 /**
- * Mean latency of one operation at one endpoint. Work that cannot meet its deadline by this estimate is refused, and
+ * Mean latency of the executions at one endpoint. Work that cannot meet its deadline by this estimate is refused, and
  * refused work yields no samples; so that an estimate that refuses all work does not stay in force, refusals lower it
  * while there are no samples.
  *
@@ -17,26 +17,23 @@
     private double micros;
     private long updatedMicros;
 
-    /**
-     * Creates the estimate from its first sample.
-     *
-     * @param firstMicros latency of an execution in microseconds
-     * @param nowMicros current time in microseconds
-     */
-    LatencyEstimate(long firstMicros, long nowMicros) {
+    private LatencyEstimate(long firstMicros) {
         micros = firstMicros;
-        updatedMicros = nowMicros;
     }
 
     /**
      * Adds the latency of an execution.
      *
+     * @param estimate the estimate, null before the first sample
      * @param sampleMicros latency in microseconds
      * @param nowMicros current time in microseconds
+     * @return the estimate with the sample; a new one for the first sample
      */
-    void addSample(long sampleMicros, long nowMicros) {
-        micros += (sampleMicros - micros) * EWMA_WEIGHT;
-        updatedMicros = nowMicros;
+    static LatencyEstimate withSample(LatencyEstimate estimate, long sampleMicros, long nowMicros) {
+        LatencyEstimate result = estimate == null ? new LatencyEstimate(sampleMicros) : estimate;
+        result.micros += (sampleMicros - result.micros) * EWMA_WEIGHT;
+        result.updatedMicros = nowMicros;
+        return result;
     }
 
     /**
--- a/decision/src/main/java/org/anvillatch/decision/admission/RateLimit.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/RateLimit.java
@@ -94,11 +94,13 @@
      * Returns the mean number of executions that run at a time if as many start as the limit permits (Little's law).
      *
      * @param durationMicros mean duration of an execution in microseconds
-     * @return at least 1
+     * @return at least 1; the largest integer without a limit
      */
     int concurrency(double durationMicros) {
-        return (int)
-                Math.ceil(Math.max(1, Math.min(Integer.MAX_VALUE, perSecond * durationMicros / MICROS_PER_SECOND)));
+        if (!isLimited()) {
+            return Integer.MAX_VALUE;
+        }
+        return (int) Math.ceil(Math.max(1, perSecond * durationMicros / MICROS_PER_SECOND));
     }
 
     private void refill(long nowMicros) {
--- a/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
+++ b/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
@@ -524,8 +524,14 @@
             endpointLeaving(received.instance());
             endpointListener.run();
         }
+        advertiseSlots();
+    }
+
+    /** Advertises the endpoint again if it can take much more or less work than other hosts know. */
+    private void advertiseSlots() {
         int advertised = state.membership().self().slots();
-        if (Math.abs(state.gatekeeper().advertisedSlots() - advertised) > advertised * ADVERTISED_SLOTS_CHANGE) {
+        int change = Math.abs(state.gatekeeper().advertisedSlots() - advertised);
+        if (!stopping && change > advertised * ADVERTISED_SLOTS_CHANGE) {
             advertise();
             endpointListener.run();
         }
