--- a/decision/src/main/java/org/anvillatch/decision/membership/Membership.java
+++ b/decision/src/main/java/org/anvillatch/decision/membership/Membership.java
@@ -343,6 +343,16 @@
         return others;
     }
 
+    /**
+     * Returns whether this host has the smallest name of all present hosts; tasks that one host suffices for are done by
+     * it. During a partition there is one such host on each side.
+     *
+     * @return true if no other present host has a smaller name
+     */
+    public boolean isFirstPresent() {
+        return presentPeers().stream().noneMatch(member -> member.host().name().compareTo(self) < 0);
+    }
+
     /**
      * Returns the number of hosts in the view.
      *
--- a/node/src/main/java/org/anvillatch/node/configuration/ConfigurationService.java
+++ b/node/src/main/java/org/anvillatch/node/configuration/ConfigurationService.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -305,7 +304,10 @@
         boolean hasContent = snapshot.configuration().version() >= 0;
         boolean manyRecords = snapshot.coveredOffset() - lastSnapshotOffset > MAX_RECORDS_BETWEEN_SNAPSHOTS;
         boolean overdue = now - lastSnapshotMicros > snapshotPeriodMicros;
-        if (!hasContent || !logAvailable || !manyRecords && !overdue || !isFirstByName()) {
+        if (!hasContent
+                || !logAvailable
+                || !manyRecords && !overdue
+                || !state.membership().isFirstPresent()) {
             return;
         }
         lastSnapshotMicros = now;
@@ -321,16 +323,6 @@
                         result));
     }
 
-    private boolean isFirstByName() {
-        String self = state.membership().self().host().name();
-        return state.membership().all().stream()
-                .filter(member -> member.status().isPresent())
-                .map(member -> member.host().name())
-                .min(Comparator.naturalOrder())
-                .orElse(self)
-                .equals(self);
-    }
-
     private void append(ConfigurationRecord entry, Consumer<PlatformLog.AppendResult> listener) {
         try {
             byte[] value = MAPPER.writeValueAsBytes(entry);
