Show in tests that the product's own log interface does not survive a restore either

LogStandIn can go back to a copy. On the current code the first change after the restore is given an offset that all hosts have applied already, so all ignore it (NOT_KNOWN_YET), and a key whose claim the copy lacks is claimed by a second host. That an accepted change survives while hosts are restarted one after the other holds already: it comes from other hosts.

--- a/node/src/test/java/org/anvillatch/node/call/KeyClaimServiceTest.java
+++ b/node/src/test/java/org/anvillatch/node/call/KeyClaimServiceTest.java
@@ -13,6 +13,7 @@
 import org.anvillatch.node.platform.PlatformLog;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -33,6 +34,11 @@
         private final List<Entry> entries = new ArrayList<>();
         private int appendsToLose;
 
+        /** Goes back to a copy that holds only the first records. */
+        private synchronized void restore(int keptRecords) {
+            entries.subList(keptRecords, entries.size()).clear();
+        }
+
         @Override
         public synchronized void append(String stream, byte[] value, Consumer<AppendResult> listener) {
             if (appendsToLose > 0) {
@@ -64,8 +70,12 @@
     }
 
     private KeyClaimService.Resolution resolve() throws Exception {
+        return resolve(claims);
+    }
+
+    private KeyClaimService.Resolution resolve(KeyClaimService service) throws Exception {
         CompletableFuture<KeyClaimService.Resolution> result = new CompletableFuture<>();
-        loop.execute(() -> claims.resolve(
+        loop.execute(() -> service.resolve(
                 KEY, loop.nowMicros() + TIMEOUT_MICROS, (resolution, owner) -> result.complete(resolution)));
         return result.get(MAX_WAIT_SECONDS, TimeUnit.SECONDS);
     }
@@ -77,6 +87,18 @@
         assertThat(log.entries).hasSize(1);
     }
 
+    /** Guards against a write that runs twice because the restored log does not have the claim of its key. */
+    @Test
+    @Tag("known-red")
+    void keyWhoseClaimTheRestoredLogDoesNotHaveIsNotClaimedAgain() throws Exception {
+        assertThat(resolve()).isEqualTo(KeyClaimService.Resolution.OWNED);
+        log.restore(0);
+        HostIdentity other = new HostIdentity("desk-2", 8);
+        KeyClaimService otherClaims = new KeyClaimService(
+                loop, other, new IdempotencyLedger(other, IdempotencyLedger.MAX_KEYS), log, new MetricRegistry());
+        assertThat(resolve(otherClaims)).isEqualTo(KeyClaimService.Resolution.TOO_OLD);
+    }
+
     @Test
     void claimsKeyAgainAfterItsAppendWasLost() throws Exception {
         log.appendsToLose = 1;
--- a/testbed/src/main/java/org/anvillatch/testbed/platform/LogStandIn.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/platform/LogStandIn.java
@@ -18,8 +18,9 @@
 import org.eclipse.jetty.util.Fields;
 
 /**
- * Stand-in for the platform's log service: append-only streams with offsets, bounded retention and simulated outages.
- * {@code POST /control?mode=MODE&retain=N} sets its behaviour. Thread safe.
+ * Stand-in for the platform's log service: append-only streams with offsets, bounded retention, simulated outages, and
+ * restores from an older copy. {@code POST /control?mode=MODE&retain=N&copy=save|restore} sets its behaviour. Thread
+ * safe.
  */
 public final class LogStandIn implements AutoCloseable {
     private static final int CREATED = 201;
@@ -46,11 +47,19 @@
     private static final class Stream {
         private final List<Entry> entries = new ArrayList<>();
         private long next;
+
+        private static Stream copyOf(Stream original) {
+            Stream stream = new Stream();
+            stream.entries.addAll(original.entries);
+            stream.next = original.next;
+            return stream;
+        }
     }
 
     private final Server server = new Server();
     private final ServerConnector connector = new ServerConnector(server, 1, 1);
     private final Map<String, Stream> streams = new HashMap<>();
+    private final Map<String, Stream> copy = new HashMap<>();
     private Mode mode = Mode.UP;
     private int maxRecords = Integer.MAX_VALUE;
 
@@ -102,6 +111,21 @@
         }
     }
 
+    /** Saves a copy of all streams. */
+    public synchronized void saveCopy() {
+        copyStreams(streams, copy);
+    }
+
+    /** Goes back to the saved copy: later records are lost, and their offsets are given out again. */
+    public synchronized void restoreCopy() {
+        copyStreams(copy, streams);
+    }
+
+    private static void copyStreams(Map<String, Stream> from, Map<String, Stream> to) {
+        to.clear();
+        from.forEach((name, stream) -> to.put(name, Stream.copyOf(stream)));
+    }
+
     /**
      * Returns how many records have been appended to a stream, including dropped ones.
      *
@@ -167,6 +191,11 @@
             if (query.getValue("retain") != null) {
                 setMaxRecords(Integer.parseInt(query.getValue("retain")));
             }
+            if ("save".equals(query.getValue("copy"))) {
+                saveCopy();
+            } else if ("restore".equals(query.getValue("copy"))) {
+                restoreCopy();
+            }
         }
 
         private void handleAppend(String stream, Request request, Response response, Callback callback) {
