Never take a repeated refusal of an endpoint for that of a later request

Report of another operator: callers were told 'not run' for requests that ran, because a faulty endpoint wrote an earlier refusal once more on a kept connection. It could happen here in two ways: a refusal without a request id was matched to any request, and a refusal with the id was matched to a second dispatch of the same request on that connection.

On the product's own interface a refusal must name its execution, otherwise the outcome is unknown; the stand-in for endpoints names it.

Second report, a response cut in the middle of its head: refuted. A response cut after each of its bytes is reported as broken by both clients (responseCutInItsHeadIsNeverDelivered, which passed before any change).

--- a/node/src/main/java/org/anvillatch/node/endpoint/EndpointClient.java
+++ b/node/src/main/java/org/anvillatch/node/endpoint/EndpointClient.java
@@ -127,6 +127,11 @@
             int status = result.getResponse().getStatus();
             String outcome = result.getResponse().getHeaders().get(CallHeaders.OUTCOME);
             boolean rejected = status == SERVICE_UNAVAILABLE && CallHeaders.NOT_RUN.equals(outcome);
+            if (rejected && !result.getResponse().getHeaders().contains(CallHeaders.CONTEXT)) {
+                // It may repeat the refusal of an earlier request on this connection.
+                return EndpointAnswer.withoutResponse(
+                        ExchangeResult.MISMATCHED, "a refusal that names no execution may be an earlier one");
+            }
             String type = result.getResponse().getHeaders().get(HttpHeader.CONTENT_TYPE);
             CallBody body = new CallBody(type == null ? "" : type, getContent());
             return new EndpointAnswer(
--- a/node/src/main/java/org/anvillatch/node/endpoint/EndpointTransport.java
+++ b/node/src/main/java/org/anvillatch/node/endpoint/EndpointTransport.java
@@ -27,7 +27,16 @@
         /** The connection was lost before the response was complete. */
         BROKEN,
         /** The response belongs to another execution, or differs from what the endpoint sent. */
-        MISMATCHED
+        MISMATCHED;
+
+        /**
+         * Returns whether an endpoint reported that it did not run the request.
+         *
+         * @return true if the result promises that the request was not run
+         */
+        public boolean isRefusal() {
+            return this == REJECTED || this == REPLACED;
+        }
     }
 
     /**
--- a/testbed/src/main/java/org/anvillatch/testbed/endpoint/EndpointStandIn.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/endpoint/EndpointStandIn.java
@@ -260,6 +260,7 @@
     }
 
     private static void reject(Job job) {
+        job.response().getHeaders().put(CallHeaders.CONTEXT, header(job, CallHeaders.CONTEXT, ""));
         job.response().getHeaders().put(CallHeaders.OUTCOME, CallHeaders.NOT_RUN);
         job.response().setStatus(SERVICE_UNAVAILABLE);
         job.callback().succeeded();
