Play restores of the log among the faults of the product's own interface

FaultRoundTest leaves it out, since callers' keys are answered 'unknown' for a minute after a restore, which would make its later rounds weaker.

--- a/testbed/src/main/java/org/anvillatch/testbed/fault/Fault.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/fault/Fault.java
@@ -98,6 +98,18 @@
             site.log().setMode(LogStandIn.Mode.UP);
         }
     },
+    /** The log service goes back to what it held when the fault began; offsets are given out again. */
+    LOG_RESTORED {
+        @Override
+        public void inject(RunningSite site, RunningSite.Host host) {
+            site.log().saveCopy();
+        }
+
+        @Override
+        public void recover(RunningSite site, RunningSite.Host host) {
+            site.log().restoreCopy();
+        }
+    },
     /** The peer port of one node accepts connections but receives and sends nothing. */
     CUT_HOST {
         @Override
--- a/testbed/src/test/java/org/anvillatch/testbed/fault/FaultRoundTest.java
+++ b/testbed/src/test/java/org/anvillatch/testbed/fault/FaultRoundTest.java
@@ -55,8 +55,9 @@
         return verdict;
     }
 
+    /** A restore of the log changes how callers' keys are answered for a minute, so LogRestoreRoundTest has its own site. */
     @ParameterizedTest
-    @EnumSource(Fault.class)
+    @EnumSource(value = Fault.class, mode = EnumSource.Mode.EXCLUDE, names = "LOG_RESTORED")
     void everyGuaranteeHoldsUnder(Fault fault) throws Exception {
         runRound("single-" + fault, false, 0.5, new FaultRound.PlacedFault(fault, "middle-1"));
     }
