--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -171,6 +171,8 @@
                 () -> state.gatekeeper().status().limit());
         metrics.register("configuration.version", (Gauge<Long>)
                 () -> state.configuration().current().version());
+        metrics.register("configuration.history", (Gauge<Long>)
+                () -> state.configuration().history());
         metrics.register("membership.hosts", (Gauge<Integer>) this::presentHosts);
     }
 
