Let another reader write the configuration to a restored log if the first host does not

If that host is up but cannot reach the log, operators would get NOT_APPENDED for good. The other frequent readers now do so after 4 to 8 s; a second record of this kind changes nothing. A restore is also noticed when another host's message names it.

--- a/node/src/main/java/org/anvillatch/node/configuration/ConfigurationService.java
+++ b/node/src/main/java/org/anvillatch/node/configuration/ConfigurationService.java
@@ -37,7 +37,8 @@
  * loop.
  *
  * <p>After the log was restored from an older copy, the first host by name asks others for their configuration and
- * writes the latest one to the log. Changes are refused until then.
+ * writes the latest one to the log. Changes are refused until then. If that host does not do it, since it cannot reach
+ * the log, the other frequent readers do so some seconds later.
  *
  * <p>Invariant: a change is reported as accepted only after its record was applied on this host.
  */
@@ -60,6 +61,11 @@
     /** Time in which other hosts notice a restore and spread the versions that they have, in microseconds. */
     private static final long COLLECTION_DELAY_MICROS = 500_000;
 
+    /**
+     * Minimum time that other frequent readers leave to the first host, in microseconds; they wait up to twice as long.
+     */
+    private static final long TAKEOVER_DELAY_MICROS = 4_000_000;
+
     /** Time for the answers of other hosts and the append, after which it is repeated, in microseconds. */
     private static final long OPENING_PERIOD_MICROS = 1_200_000;
 
@@ -81,6 +87,7 @@
     private long nextReadMicros;
     private long lastSnapshotMicros;
     private long lastSnapshotPosition = -1;
+    private long noticedHistory;
     private long nextOpeningMicros;
     private boolean othersAsked;
     private boolean logAvailable;
@@ -122,14 +129,33 @@
             nextReadMicros = now + (frequent ? READ_PERIOD_MICROS : INFREQUENT_READ_PERIOD_MICROS);
             read();
         }
+        noticeHistory(now);
         if (state.configuration().isHistoryOpen()) {
-            othersAsked = false;
             writeSnapshotIfDue(now);
         } else {
             openHistoryIfDue(now);
         }
     }
 
+    /** Notices a new history of the log, which this host or another one has read. */
+    private void noticeHistory(long now) {
+        long history = state.configuration().history();
+        if (history == noticedHistory) {
+            return;
+        }
+        LOG.warn(
+                "log restored from an older copy: history={} before={}; configuration version {} stays in force",
+                history,
+                noticedHistory,
+                state.configuration().current().version());
+        noticedHistory = history;
+        othersAsked = false;
+        nextOpeningMicros = now
+                + (state.membership().isFirstPresent()
+                        ? COLLECTION_DELAY_MICROS
+                        : TAKEOVER_DELAY_MICROS + state.random().nextLong(TAKEOVER_DELAY_MICROS));
+    }
+
     /** Makes the next tick read the log. Called after a pause of this process. */
     public void requestImmediateRead() {
         nextReadMicros = 0;
@@ -173,7 +199,7 @@
         }
         long history = state.configuration().history();
         if (result.history() > history) {
-            startHistory(result.history());
+            state.configuration().startHistory(result.history());
             // These records were requested by an offset of the earlier history.
             read();
             return;
@@ -190,17 +216,6 @@
         apply(records);
     }
 
-    private void startHistory(long history) {
-        LOG.warn(
-                "log restored from an older copy: history={} before={}; configuration version {} stays in force",
-                history,
-                state.configuration().history(),
-                state.configuration().current().version());
-        state.configuration().startHistory(history);
-        nextOpeningMicros = loop.nowMicros() + COLLECTION_DELAY_MICROS;
-        othersAsked = false;
-    }
-
     private static void decode(long history, PlatformLog.Entry entry, TreeMap<Long, ConfigurationRecord> records) {
         long position = LogPosition.of(history, entry.offset());
         try {
@@ -386,7 +401,8 @@
 
     /** Writes the latest configuration that this host or others know to the current history of the log. */
     private void openHistoryIfDue(long now) {
-        if (!logAvailable || now < nextOpeningMicros || !state.membership().isFirstPresent()) {
+        boolean responsible = state.membership().isFirstPresent() || readerPosition() < FREQUENT_READERS_PER_DOMAIN;
+        if (!logAvailable || now < nextOpeningMicros || !responsible) {
             return;
         }
         nextOpeningMicros = now + OPENING_PERIOD_MICROS;
