--- a/node/src/main/java/org/anvillatch/node/call/KeyClaimService.java
+++ b/node/src/main/java/org/anvillatch/node/call/KeyClaimService.java
@@ -176,7 +176,8 @@
             readNext();
             return;
         }
-        if (result.available()) {
+        boolean current = result.available() && result.history() == claims.history();
+        if (current) {
             result.entries().forEach(this::applyEntry);
             caughtUp = claims.nextOffset() >= result.nextOffset();
             if (caughtUp) {
@@ -190,7 +191,7 @@
         long now = loop.nowMicros();
         resolveMatching(request -> now >= request.deadlineMicros(), Resolution.NOT_CLAIMED);
         if (!pending.isEmpty()) {
-            boolean moreToRead = result.available() && !caughtUp;
+            boolean moreToRead = current && !caughtUp;
             loop.schedule(moreToRead ? 0 : POLL_INTERVAL_MICROS, this::readNext);
         }
     }
--- a/node/src/main/java/org/anvillatch/node/configuration/ConfigurationService.java
+++ b/node/src/main/java/org/anvillatch/node/configuration/ConfigurationService.java
@@ -301,7 +301,7 @@
         List<ControlMessages.PositionedRecord> records = new ArrayList<>();
         if (recordsSuffice) {
             recent.tailMap(coveredPosition, false)
-                    .forEach((offset, entry) -> records.add(new ControlMessages.PositionedRecord(offset, entry)));
+                    .forEach((position, entry) -> records.add(new ControlMessages.PositionedRecord(position, entry)));
         }
         boolean known = state.configuration().isKnown();
         ConfigurationSnapshot snapshot =
--- a/node/src/main/java/org/anvillatch/node/operator/HostStatus.java
+++ b/node/src/main/java/org/anvillatch/node/operator/HostStatus.java
@@ -12,7 +12,7 @@
  * @param gatekeeper state of the host's gatekeeper
  * @param reportedRunning number of running executions in the endpoint's last heartbeat
  * @param configurationVersion current version of the configuration
- * @param coveredPosition offset up to which the configuration stream is applied
+ * @param coveredPosition position up to which the configuration stream is applied
  * @param members number of hosts that are present in the host's membership view
  * @param state state of the process: starting, serving, leaving or stopped
  */
