Drop claims that wait for their append when the log was restored

If the restore was noticed in between, the record was written for the new history, and so accepted by the log, although its key may have been claimed by a record that was lost: other hosts would take this host for the owner, and a write could run twice.

A new history now drops the claims that wait; they are decided again after it was read.

Evidence: claimThatWaitsForItsAppendDuringARestoreIsDropped failed before (the record is in the log), passes now.

--- a/node/src/main/java/org/anvillatch/node/call/KeyClaimService.java
+++ b/node/src/main/java/org/anvillatch/node/call/KeyClaimService.java
@@ -134,6 +134,9 @@
     private void appendBatch() {
         List<String> keys = List.copyOf(batch);
         batch.clear();
+        if (keys.isEmpty()) {
+            return;
+        }
         byte[] value;
         try {
             value = MAPPER.writeValueAsBytes(
@@ -172,6 +175,9 @@
                     result.history(),
                     claims.history());
             claims.startHistory(result.history());
+            // Claims that were decided on what the earlier history held are decided again.
+            batch.clear();
+            claimsInProgress.clear();
             caughtUp = false;
             readNext();
             return;
--- a/node/src/test/java/org/anvillatch/node/call/KeyClaimServiceTest.java
+++ b/node/src/test/java/org/anvillatch/node/call/KeyClaimServiceTest.java
@@ -20,6 +20,7 @@
 class KeyClaimServiceTest {
     private static final HostIdentity SELF = new HostIdentity("desk-1", 7);
     private static final String KEY = "017f22e2-79b0-7cc3-98c4-dc0c0c07398f";
+    private static final String OTHER_KEY = "017f22e2-79b0-7cc3-98c4-dc0c0c073990";
     private static final long TIMEOUT_MICROS = 300_000;
     private static final long MAX_WAIT_SECONDS = 20;
 
@@ -103,6 +104,28 @@
         assertThat(resolve(otherClaims)).isEqualTo(KeyClaimService.Resolution.TOO_OLD);
     }
 
+    /** Guards against a claim that was decided before a restore and is appended after it, to the new history. */
+    @Test
+    void claimThatWaitsForItsAppendDuringARestoreIsDropped() throws Exception {
+        CompletableFuture<KeyClaimService.Resolution> first = new CompletableFuture<>();
+        CompletableFuture<KeyClaimService.Resolution> second = new CompletableFuture<>();
+        loop.execute(() -> {
+            long deadlineMicros = loop.nowMicros() + TIMEOUT_MICROS;
+            claims.resolve(KEY, deadlineMicros, (resolution, owner) -> first.complete(resolution));
+            // Runs after the result of the read, in which the claim is decided, and before its append.
+            loop.execute(() -> {
+                log.restore(0);
+                claims.resolve(OTHER_KEY, deadlineMicros, (resolution, owner) -> second.complete(resolution));
+            });
+        });
+        assertThat(first.get(MAX_WAIT_SECONDS, TimeUnit.SECONDS)).isEqualTo(KeyClaimService.Resolution.TOO_OLD);
+        assertThat(second.get(MAX_WAIT_SECONDS, TimeUnit.SECONDS)).isEqualTo(KeyClaimService.Resolution.TOO_OLD);
+        CompletableFuture<Void> afterTheBatchDelay = new CompletableFuture<>();
+        loop.schedule(TIMEOUT_MICROS, () -> afterTheBatchDelay.complete(null));
+        afterTheBatchDelay.get(MAX_WAIT_SECONDS, TimeUnit.SECONDS);
+        assertThat(log.entries).isEmpty();
+    }
+
     @Test
     void claimsKeyAgainAfterItsAppendWasLost() throws Exception {
         log.appendsToLose = 1;
