Remove repetitions from the handling of a restored log

Random peers are drawn in one place instead of two, and so are the test for a frequent reader and the bound of complete claims; whether a host is the first by name is no longer determined on a copy of the view, nor before the cheap checks; the start of a history of claims is a method; the log's stand-in answers a refused append without a sentinel offset. Behaviour is unchanged.

--- a/decision/src/main/java/org/anvillatch/decision/configuration/ConfigurationReducer.java
+++ b/decision/src/main/java/org/anvillatch/decision/configuration/ConfigurationReducer.java
@@ -108,9 +108,12 @@
     private boolean adoptPendingSnapshot(long firstPending) {
         for (ConfigurationRecord entry : pending.values()) {
             ConfigurationSnapshot snapshot = entry.snapshot();
+            if (snapshot == null) {
+                continue;
+            }
             // The records before a restore keep their offsets, so a snapshot of an earlier history covers them too.
-            long covered = snapshot == null ? -1 : LogPosition.offsetOf(snapshot.coveredPosition());
-            if (snapshot != null && covered >= LogPosition.offsetOf(firstPending) - 1) {
+            long covered = LogPosition.offsetOf(snapshot.coveredPosition());
+            if (covered >= LogPosition.offsetOf(firstPending) - 1) {
                 applySnapshot(snapshot, LogPosition.of(history(), covered));
                 known |= isHistoryOpen();
                 return true;
--- a/decision/src/main/java/org/anvillatch/decision/idempotency/KeyClaims.java
+++ b/decision/src/main/java/org/anvillatch/decision/idempotency/KeyClaims.java
@@ -62,14 +62,11 @@
         if (offset < nextOffset) {
             return List.of();
         }
-        if (offset > nextOffset) {
-            completeSinceMillis = Math.max(completeSinceMillis, entry.writtenMillis());
+        if (offset > nextOffset || entry.history() > latestRecordHistory) {
+            markIncompleteBefore(entry.writtenMillis());
         }
         nextOffset = offset + 1;
-        if (entry.history() > latestRecordHistory) {
-            latestRecordHistory = entry.history();
-            completeSinceMillis = Math.max(completeSinceMillis, entry.writtenMillis());
-        }
+        latestRecordHistory = Math.max(latestRecordHistory, entry.history());
         List<String> first = entry.keys().stream()
                 .filter(key -> owners.putIfAbsent(key, entry.owner()) == null)
                 .toList();
@@ -101,7 +98,7 @@
     public void markCaughtUp(long nowMillis) {
         if (latestRecordHistory < history) {
             latestRecordHistory = history;
-            completeSinceMillis = Math.max(completeSinceMillis, nowMillis);
+            markIncompleteBefore(nowMillis);
         }
     }
 
@@ -117,7 +114,11 @@
     private void evictOldest() {
         ClaimRecord oldest = retained.removeFirst();
         oldest.keys().forEach(key -> owners.remove(key, oldest.owner()));
-        completeSinceMillis = Math.max(completeSinceMillis, oldest.writtenMillis());
+        markIncompleteBefore(oldest.writtenMillis());
+    }
+
+    private void markIncompleteBefore(long millis) {
+        completeSinceMillis = Math.max(completeSinceMillis, millis);
     }
 
     /**
--- a/decision/src/main/java/org/anvillatch/decision/membership/Membership.java
+++ b/decision/src/main/java/org/anvillatch/decision/membership/Membership.java
@@ -350,7 +350,9 @@
      * @return true if no other present host has a smaller name
      */
     public boolean isFirstPresent() {
-        return presentPeers().stream().noneMatch(member -> member.host().name().compareTo(self) < 0);
+        return members.values().stream()
+                .noneMatch(member ->
+                        member.status().isPresent() && member.host().name().compareTo(self) < 0);
     }
 
     /**
--- a/node/src/main/java/org/anvillatch/node/call/KeyClaimService.java
+++ b/node/src/main/java/org/anvillatch/node/call/KeyClaimService.java
@@ -170,15 +170,7 @@
     private void handleReadResult(PlatformLog.ReadResult result) {
         readInProgress = false;
         if (result.available() && result.history() > claims.history()) {
-            LOG.warn(
-                    "log restored from an older copy: history={} before={}; claims are read again",
-                    result.history(),
-                    claims.history());
-            claims.startHistory(result.history());
-            // Claims that were decided on what the earlier history held are decided again.
-            batch.clear();
-            claimsInProgress.clear();
-            caughtUp = false;
+            startHistory(result.history());
             readNext();
             return;
         }
@@ -202,6 +194,18 @@
         }
     }
 
+    private void startHistory(long history) {
+        LOG.warn(
+                "log restored from an older copy: history={} before={}; claims are read again",
+                history,
+                claims.history());
+        claims.startHistory(history);
+        caughtUp = false;
+        // Claims that were decided on what the earlier history held are decided again.
+        batch.clear();
+        claimsInProgress.clear();
+    }
+
     private void applyEntry(PlatformLog.Entry entry) {
         KeyClaims.ClaimRecord claim = parse(entry);
         List<String> newlyOwned = claims.addRecord(entry.offset(), claim);
--- a/node/src/main/java/org/anvillatch/node/configuration/ConfigurationService.java
+++ b/node/src/main/java/org/anvillatch/node/configuration/ConfigurationService.java
@@ -124,8 +124,7 @@
     public void tick() {
         long now = loop.nowMicros();
         if (now >= nextReadMicros) {
-            boolean frequent = readerPosition() < FREQUENT_READERS_PER_DOMAIN
-                    || !state.configuration().isKnown();
+            boolean frequent = isFrequentReader() || !state.configuration().isKnown();
             nextReadMicros = now + (frequent ? READ_PERIOD_MICROS : INFREQUENT_READ_PERIOD_MICROS);
             read();
         }
@@ -161,6 +160,10 @@
         nextReadMicros = 0;
     }
 
+    private boolean isFrequentReader() {
+        return readerPosition() < FREQUENT_READERS_PER_DOMAIN;
+    }
+
     private int readerPosition() {
         Member self = state.membership().self();
         int ownScore = readerScore(self);
@@ -269,14 +272,21 @@
     }
 
     private void push(long appliedBefore) {
-        List<Member> others = state.membership().presentPeers();
         PeerMessage message = answer(appliedBefore);
-        for (int index = 0; index < PUSH_FANOUT && !others.isEmpty(); index++) {
-            Member other = others.remove(state.random().nextInt(others.size()));
+        for (Member other : randomPeers(PUSH_FANOUT)) {
             peers.send(other.address(), message, PEER_TIMEOUT_MICROS, IGNORE_ANSWER);
         }
     }
 
+    private List<Member> randomPeers(int maxPeers) {
+        List<Member> others = state.membership().presentPeers();
+        List<Member> chosen = new ArrayList<>();
+        while (chosen.size() < maxPeers && !others.isEmpty()) {
+            chosen.add(others.remove(state.random().nextInt(others.size())));
+        }
+        return chosen;
+    }
+
     private static final PeerClient.AnswerListener IGNORE_ANSWER = new PeerClient.AnswerListener() {
         @Override
         public void answered(PeerMessage message) {
@@ -401,8 +411,7 @@
 
     /** Writes the latest configuration that this host or others know to the current history of the log. */
     private void openHistoryIfDue(long now) {
-        boolean responsible = state.membership().isFirstPresent() || readerPosition() < FREQUENT_READERS_PER_DOMAIN;
-        if (!logAvailable || now < nextOpeningMicros || !responsible) {
+        if (!logAvailable || now < nextOpeningMicros || !state.membership().isFirstPresent() && !isFrequentReader()) {
             return;
         }
         nextOpeningMicros = now + OPENING_PERIOD_MICROS;
@@ -410,14 +419,7 @@
             appendSnapshot(state.configuration().snapshot());
         } else {
             othersAsked = true;
-            askOthers();
-        }
-    }
-
-    private void askOthers() {
-        List<Member> others = state.membership().presentPeers();
-        for (int index = 0; index < MAX_HOSTS_ASKED && !others.isEmpty(); index++) {
-            fetch(others.remove(state.random().nextInt(others.size())).address(), NO_POSITION);
+            randomPeers(MAX_HOSTS_ASKED).forEach(other -> fetch(other.address(), NO_POSITION));
         }
     }
 
--- a/testbed/src/main/java/org/anvillatch/testbed/platform/LogStandIn.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/platform/LogStandIn.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -26,7 +27,6 @@
     private static final int CREATED = 201;
     private static final int PRECONDITION_FAILED = 412;
     private static final int SERVICE_UNAVAILABLE = 503;
-    private static final long REFUSED = -1;
     private static final int MAX_RECORD_BYTES = 16 * 1024 * 1024;
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -140,15 +140,15 @@
         return streams.containsKey(name) ? streams.get(name).next : 0;
     }
 
-    /** Appends a record and returns its offset, or {@link #REFUSED} if the log is in another history. */
-    private synchronized long append(String name, long expectedHistory, byte[] value) {
+    /** Appends a record and returns its offset, or nothing if the log is in another history. */
+    private synchronized OptionalLong append(String name, long expectedHistory, byte[] value) {
         if (expectedHistory != history) {
-            return REFUSED;
+            return OptionalLong.empty();
         }
         Stream stream = streams.computeIfAbsent(name, unused -> new Stream());
         stream.entries.add(new Entry(stream.next, value));
         dropOldest(stream);
-        return stream.next++;
+        return OptionalLong.of(stream.next++);
     }
 
     private synchronized ReadResponse read(String name, long from, int limit) {
@@ -214,7 +214,7 @@
                     callback.failed(failure);
                     return;
                 }
-                long offset = append(stream, expectedHistory, value);
+                OptionalLong offset = append(stream, expectedHistory, value);
                 if (mode() == Mode.LOSES_ANSWERS) {
                     request.getConnectionMetaData()
                             .getConnection()
@@ -223,8 +223,13 @@
                     callback.failed(new IllegalStateException("append response dropped in mode LOSES_ANSWERS"));
                     return;
                 }
-                response.setStatus(offset == REFUSED ? PRECONDITION_FAILED : CREATED);
-                write(response, new AppendResponse(offset), callback);
+                if (offset.isEmpty()) {
+                    response.setStatus(PRECONDITION_FAILED);
+                    callback.succeeded();
+                    return;
+                }
+                response.setStatus(CREATED);
+                write(response, new AppendResponse(offset.getAsLong()), callback);
             });
         }
 
