--- a/node/src/test/java/org/anvillatch/node/call/GatekeeperServiceTest.java
+++ b/node/src/test/java/org/anvillatch/node/call/GatekeeperServiceTest.java
@@ -2,29 +2,21 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.SplittableRandom;
 
 import com.codahale.metrics.MetricRegistry;
-import org.anvillatch.decision.admission.AdmissionFeatures;
-import org.anvillatch.decision.admission.Gatekeeper;
-import org.anvillatch.decision.configuration.ConfigurationReducer;
 import org.anvillatch.decision.drain.EndpointPhase;
-import org.anvillatch.decision.idempotency.IdempotencyLedger;
 import org.anvillatch.decision.membership.Member;
 import org.anvillatch.decision.membership.MemberStatus;
-import org.anvillatch.decision.membership.Membership;
 import org.anvillatch.decision.model.EndpointNotice;
 import org.anvillatch.decision.model.HostIdentity;
 import org.anvillatch.decision.model.OperationName;
 import org.anvillatch.decision.model.RefusalReason;
-import org.anvillatch.decision.quarantine.CrashSuspects;
-import org.anvillatch.decision.routing.ActiveRoutes;
-import org.anvillatch.decision.routing.EndpointSelector;
 import org.anvillatch.node.decisionlog.DecisionLog;
 import org.anvillatch.node.endpoint.EndpointAnnouncement;
 import org.anvillatch.node.endpoint.EndpointTransport;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
+import org.anvillatch.node.loop.TestHostStates;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -38,7 +30,8 @@
             new EndpointAnnouncement("desk", "10.0.0.1:80", SLOTS, SLOTS, "i@2");
 
     private final DecisionLoop loop = new DecisionLoop();
-    private final HostState state = createState();
+    private final HostState state =
+            TestHostStates.create(new Member(SELF, 0, "", "d", "desk", 0, EndpointPhase.ABSENT, MemberStatus.ALIVE, 0));
     private final FakeTransport transport = new FakeTransport();
     private final MetricRegistry metrics = new MetricRegistry();
     private final GatekeeperService service = new GatekeeperService(
@@ -79,20 +72,6 @@
         }
     }
 
-    private static HostState createState() {
-        Member self = new Member(SELF, 0, "", "d", "desk", 0, EndpointPhase.ABSENT, MemberStatus.ALIVE, 0);
-        Membership membership = new Membership(self, List.of());
-        return new HostState(
-                membership,
-                new EndpointSelector(membership),
-                new Gatekeeper(AdmissionFeatures.ALL),
-                new IdempotencyLedger(SELF, 1),
-                new CrashSuspects(),
-                new ConfigurationReducer(),
-                new ActiveRoutes(),
-                new SplittableRandom(1));
-    }
-
     private void dispatch() {
         dispatch(null);
     }
--- a/node/src/test/java/org/anvillatch/node/call/KeyClaimServiceTest.java
+++ b/node/src/test/java/org/anvillatch/node/call/KeyClaimServiceTest.java
@@ -1,16 +1,13 @@
 package org.anvillatch.node.call;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 
 import com.codahale.metrics.MetricRegistry;
 import org.anvillatch.decision.idempotency.IdempotencyLedger;
 import org.anvillatch.decision.model.HostIdentity;
 import org.anvillatch.node.loop.DecisionLoop;
-import org.anvillatch.node.platform.PlatformLog;
+import org.anvillatch.node.platform.FakeLog;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -29,42 +26,6 @@
     private final KeyClaimService claims = new KeyClaimService(
             loop, SELF, new IdempotencyLedger(SELF, IdempotencyLedger.MAX_KEYS), log, new MetricRegistry());
 
-    /** In-memory log that can lose the next appends and then reports an unknown result for them. */
-    private static final class FakeLog implements PlatformLog {
-        private final List<Entry> entries = new ArrayList<>();
-        private int appendsToLose;
-        private long history;
-
-        /** Goes back to a copy that holds only the first records. */
-        private synchronized void restore(int keptRecords) {
-            history++;
-            entries.subList(keptRecords, entries.size()).clear();
-        }
-
-        @Override
-        public synchronized void append(String stream, long expected, byte[] value, Consumer<AppendResult> listener) {
-            if (expected != history) {
-                listener.accept(AppendResult.NOT_APPENDED);
-                return;
-            }
-            if (appendsToLose > 0) {
-                appendsToLose--;
-                listener.accept(AppendResult.UNKNOWN);
-                return;
-            }
-            entries.add(new Entry(entries.size(), value));
-            listener.accept(AppendResult.APPENDED);
-        }
-
-        @Override
-        public synchronized void read(String stream, long fromOffset, Consumer<ReadResult> listener) {
-            List<Entry> requested = entries.stream()
-                    .filter(entry -> entry.offset() >= fromOffset)
-                    .toList();
-            listener.accept(new ReadResult(true, history, 0, entries.size(), requested));
-        }
-    }
-
     @BeforeEach
     void startLoop() {
         loop.start();
@@ -90,7 +51,7 @@
     void claimsKeyOnceAndFindsItsOwnerAgain() throws Exception {
         assertThat(resolve()).isEqualTo(KeyClaimService.Resolution.OWNED);
         assertThat(resolve()).isEqualTo(KeyClaimService.Resolution.OWNED);
-        assertThat(log.entries).hasSize(1);
+        assertThat(log.entries()).hasSize(1);
     }
 
     /** Guards against a write that runs twice because the restored log does not have the claim of its key. */
@@ -123,12 +84,12 @@
         CompletableFuture<Void> afterTheBatchDelay = new CompletableFuture<>();
         loop.schedule(TIMEOUT_MICROS, () -> afterTheBatchDelay.complete(null));
         afterTheBatchDelay.get(MAX_WAIT_SECONDS, TimeUnit.SECONDS);
-        assertThat(log.entries).isEmpty();
+        assertThat(log.entries()).isEmpty();
     }
 
     @Test
     void claimsKeyAgainAfterItsAppendWasLost() throws Exception {
-        log.appendsToLose = 1;
+        log.loseNextAppend();
         assertThat(resolve()).isEqualTo(KeyClaimService.Resolution.NOT_CLAIMED);
         assertThat(resolve()).isEqualTo(KeyClaimService.Resolution.OWNED);
     }
--- a/node/src/test/java/org/anvillatch/node/configuration/ConfigurationServiceTest.java
+++ b/node/src/test/java/org/anvillatch/node/configuration/ConfigurationServiceTest.java
@@ -1,30 +1,20 @@
 package org.anvillatch.node.configuration;
 
-import java.util.ArrayList;
 import java.util.List;
-import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 
 import com.codahale.metrics.MetricRegistry;
-import org.anvillatch.decision.admission.AdmissionFeatures;
-import org.anvillatch.decision.admission.Gatekeeper;
-import org.anvillatch.decision.configuration.ConfigurationReducer;
 import org.anvillatch.decision.drain.EndpointPhase;
-import org.anvillatch.decision.idempotency.IdempotencyLedger;
 import org.anvillatch.decision.membership.Member;
 import org.anvillatch.decision.membership.MemberStatus;
-import org.anvillatch.decision.membership.Membership;
 import org.anvillatch.decision.model.HostIdentity;
-import org.anvillatch.decision.quarantine.CrashSuspects;
-import org.anvillatch.decision.routing.ActiveRoutes;
-import org.anvillatch.decision.routing.EndpointSelector;
 import org.anvillatch.node.NodeThreads;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
+import org.anvillatch.node.loop.TestHostStates;
 import org.anvillatch.node.peer.PeerClient;
-import org.anvillatch.node.platform.PlatformLog;
+import org.anvillatch.node.platform.FakeLog;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -39,50 +29,19 @@
     private final DecisionLoop loop = new DecisionLoop();
     private final NodeThreads threads = new NodeThreads();
     private final MetricRegistry metrics = new MetricRegistry();
-    private final HostState state = createState();
-    private final RestoredLog log = new RestoredLog();
+    private final HostState state = TestHostStates.create(member(SELF));
+    private final FakeLog log = new FakeLog();
     private final PeerClient peers = new PeerClient(loop, threads.pool(), threads.scheduler(), "127.0.0.1", metrics);
     private final ConfigurationService service =
             new ConfigurationService(loop, state, peers, log, TimeUnit.HOURS.toMicros(1));
 
-    /** An empty log that was restored once. */
-    private static final class RestoredLog implements PlatformLog {
-        private final List<Entry> entries = new ArrayList<>();
-
-        @Override
-        public synchronized void append(String stream, long history, byte[] value, Consumer<AppendResult> listener) {
-            entries.add(new Entry(entries.size(), value));
-            listener.accept(AppendResult.APPENDED);
-        }
-
-        @Override
-        public synchronized void read(String stream, long fromOffset, Consumer<ReadResult> listener) {
-            List<Entry> requested = entries.stream()
-                    .filter(entry -> entry.offset() >= fromOffset)
-                    .toList();
-            listener.accept(new ReadResult(true, 1, 0, entries.size(), requested));
-        }
-    }
-
     private static Member member(HostIdentity host) {
         return new Member(host, 0, "127.0.0.1:1", "d", "desk", 0, EndpointPhase.ABSENT, MemberStatus.ALIVE, 0);
     }
 
-    private static HostState createState() {
-        Membership membership = new Membership(member(SELF), List.of());
-        return new HostState(
-                membership,
-                new EndpointSelector(membership),
-                new Gatekeeper(AdmissionFeatures.ALL),
-                new IdempotencyLedger(SELF, 1),
-                new CrashSuspects(),
-                new ConfigurationReducer(),
-                new ActiveRoutes(),
-                new SplittableRandom(1));
-    }
-
     @BeforeEach
     void start() throws Exception {
+        log.restore(0);
         threads.start();
         peers.start();
         loop.start();
@@ -114,7 +73,7 @@
     @Test
     void firstHostWritesTheConfigurationToARestoredLog() throws Exception {
         awaitOpenHistory();
-        assertThat(log.entries).isNotEmpty();
+        assertThat(log.entries()).isNotEmpty();
     }
 
     /** Guards against changes that are refused for good because the first host cannot reach the log. */
@@ -123,6 +82,6 @@
         state.membership().mergeUpdates(List.of(member(new HostIdentity("desk-1", 1))), 0);
         assertThat(state.membership().isFirstPresent()).isFalse();
         awaitOpenHistory();
-        assertThat(log.entries).isNotEmpty();
+        assertThat(log.entries()).isNotEmpty();
     }
 }
