Review: a planned stop cuts answers that are being written

Cause: a stopping node does not count answers that have not been written to their callers, and closes their connections 2.3 s after SIGTERM.

--- a/review/standin/Case.java
+++ b/review/standin/Case.java
@@ -25,6 +25,7 @@
             played.closeAll();
             Runtime.getRuntime().halt(2);
         });
+        Runtime.getRuntime().addShutdownHook(new Thread(played::closeAll));
         try {
             played.folder = Files.createTempDirectory("review");
             played.store = new Store("127.0.0.1");
