--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -17,9 +17,13 @@
 
 /** The platform's store, with the calls that nodes make: keyed topics of one partition. Thread safe. */
 final class Store implements AutoCloseable {
+    private static final byte[] NO_ANSWER = {};
+
     private final Map<String, List<Entry>> topics = new HashMap<>();
     private final ExecutorService threads = Executors.newCachedThreadPool();
     private final HttpServer server;
+    private volatile boolean silent;
+    private int outages;
 
     private record Entry(String key, byte[] value) {}
 
@@ -43,8 +47,25 @@
         put("keyed.op", "config", json.getBytes(StandardCharsets.UTF_8));
     }
 
+    /**
+     * Starts or ends an outage in which the store does not respond: calls that wait when it begins, and calls that arrive
+     * during it, get no answer, and their connections return nothing further.
+     */
+    synchronized void setSilent(boolean next) {
+        silent = next;
+        outages += next ? 1 : 0;
+        notifyAll();
+    }
+
+    private static void neverAnswer() throws InterruptedException {
+        Thread.sleep(Long.MAX_VALUE);
+    }
+
     private void handle(HttpExchange exchange) throws IOException {
         try (exchange) {
+            if (silent) {
+                neverAnswer();
+            }
             Map<String, String> query = new HashMap<>();
             for (String pair : exchange.getRequestURI().getQuery().split("&")) {
                 int equals = pair.indexOf('=');
@@ -62,6 +83,9 @@
                         case "/log-append" -> append(topic, exchange);
                         default -> null;
                     };
+            if (answer == NO_ANSWER) {
+                neverAnswer();
+            }
             exchange.getResponseHeaders().put("Store-Era", List.of("1"));
             exchange.sendResponseHeaders(answer == null ? 404 : 200, answer == null ? -1 : answer.length);
             if (answer != null) {
@@ -101,8 +125,12 @@
 
     private synchronized byte[] read(String topic, int from, long waitMillis) throws IOException, InterruptedException {
         long end = System.currentTimeMillis() + waitMillis;
+        int outagesBefore = outages;
         while (topics.getOrDefault(topic, List.of()).size() <= from && System.currentTimeMillis() < end) {
             wait(Math.max(1, end - System.currentTimeMillis()));
+            if (outages != outagesBefore) {
+                return NO_ANSWER;
+            }
         }
         List<Entry> entries = topics.getOrDefault(topic, List.of());
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
