Review: a worker that restarted under its id cannot drain

Cause: a node that hears first that a new process of a worker is leaving does not change the phase of the process before it, which has the same id on the wire. Change: review/5 with a script. It takes the place of the case with a late first check-in, which needs a worker that leaves a second after its start and whose stand-in stays as a source.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # With TROUBLE=0 in the environment the disruption is left out.
 set -u
 cd "$(dirname "$0")/../.."
-exec java -Xmx512m -cp target/review UnknownWorkerCase review/5
+exec java -Xmx512m -cp target/review SameIdCase review/5
