--- a/review/standin/SlowReaderCase.java
+++ b/review/standin/SlowReaderCase.java
@@ -8,8 +8,8 @@
 
 /** The machine that took a request gets SIGTERM while the consumer reads the answer slowly. */
 final class SlowReaderCase extends Case {
-    private static final int RESPONSE_BYTES = 11 << 20;
-    private static final int BYTES_PER_SECOND = 2_200_000;
+    private static final int RESPONSE_BYTES = 14 << 20;
+    private static final int BYTES_PER_SECOND = 2_800_000;
     private static final int RECEIVE_BUFFER_BYTES = 64 * 1024;
     private static final long TIMEOUT_MILLIS = 10_000;
 
