Review: disturb one of three workers in the cases 1 and 5

Cause: a share counts within one service. Two settings could also get the same port. Change: both have the three workers of the service that the site has, one of which is disturbed; ports are given out once; case 1 waits for all uploads together, not for each.

--- a/review/standin/LargeBodiesCase.java
+++ b/review/standin/LargeBodiesCase.java
@@ -8,7 +8,7 @@
     private static final long UPLOAD_GAP_MILLIS = 200;
     private static final long WORK_MILLIS = 300;
 
-    /** Largest figures of srv_slow in the days of the site file: 12 times as long, 9 s, 0.4 of the workers. */
+    /** Largest figures of srv_slow in the days of the site file: 12 times as long, 9 s, 0.4 of the workers of a service. */
     private static final long SLOW_WORK_MILLIS = 12 * WORK_MILLIS;
 
     private static final int CHECKS = 6;
@@ -25,18 +25,23 @@
                 service("planer") + "," + service("knjiga") + "," + service("vaga"),
                 route("r-plan", "jepu9.example", "/plan/", "unsafe", "planer", 6000),
                 route("r-book", "hulo84.example", "/book/", "safe", "knjiga", (int) TIMEOUT_MILLIS)));
+        // As at the site, planer has three workers, one in each zone; the consumers are in the zone of the slow one.
         Machine planerMachine = machine("sidecar-zg-istok-1", "zg-istok", "planer");
-        Machine knjigaMachine = machine("sidecar-zg-zapad-1", "zg-zapad", "knjiga");
-        Machine vagaMachine = machine("sidecar-zg-sjever-1", "zg-sjever", "vaga");
-        List<Machine> machines = List.of(planerMachine, knjigaMachine, vagaMachine);
+        Machine secondPlaner = machine("sidecar-zg-zapad-1", "zg-zapad", "planer");
+        Machine thirdPlaner = machine("sidecar-zg-sjever-1", "zg-sjever", "planer");
+        Machine knjigaMachine = machine("sidecar-zg-zapad-2", "zg-zapad", "knjiga");
+        Machine vagaMachine = machine("sidecar-zg-istok-2", "zg-istok", "vaga");
+        List<Machine> machines = List.of(planerMachine, secondPlaner, thirdPlaner, knjigaMachine, vagaMachine);
         for (Machine machine : machines) {
             machine.awaitReady();
         }
         long now = System.currentTimeMillis();
-        Worker planer = worker(planerMachine, "i-7f3a91c2", now, 92, WORK_MILLIS);
-        worker(knjigaMachine, "i-5d20aa17", now, 92, 50).startBeating();
-        worker(vagaMachine, "i-02d9e6b4", now, 92, 50).startBeating();
+        Worker planer = worker(planerMachine, "i-7f3a91c2", now, 315, WORK_MILLIS);
         planer.startBeating();
+        worker(secondPlaner, "i-1b66e0d4", now, 315, WORK_MILLIS).startBeating();
+        worker(thirdPlaner, "i-c04482fe", now, 315, WORK_MILLIS).startBeating();
+        worker(knjigaMachine, "i-5d20aa17", now, 237, 50).startBeating();
+        worker(vagaMachine, "i-02d9e6b4", now, 44, 50).startBeating();
         Worker.pause(3_500);
         Consumer consumer = new Consumer(vagaMachine, record);
         if (trouble) {
@@ -50,8 +55,9 @@
         if (trouble) {
             planer.setWorkMillis(WORK_MILLIS);
         }
+        long end = System.nanoTime() + 8_000_000_000L;
         for (Thread upload : uploads) {
-            upload.join(8_000);
+            upload.join(Math.max(1, (end - System.nanoTime()) / 1_000_000));
         }
         // The disruption is over for longer than the stable window, and no large body is under way.
         Worker.pause(5_000);
--- a/review/standin/Machine.java
+++ b/review/standin/Machine.java
@@ -10,6 +10,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** One machine: addresses on loopback, and the node, started with the line of the deploy file. */
 final class Machine implements AutoCloseable {
@@ -24,6 +26,7 @@
     private final Record record;
     private Process process;
     private int starts;
+    private static final Set<Integer> USED_PORTS = ConcurrentHashMap.newKeySet();
 
     Machine(Path folder, Record record, String name, String zone, String service, String store) throws IOException {
         this.folder = folder;
@@ -47,12 +50,14 @@
                         + "\",\"retryShare\":\"0.2\",\"retrySlack\":\"50\",\"stopTimeout\":\"6s\"}");
     }
 
-    /** Finds a free port below the range from which the system takes the ports of outgoing connections. */
+    /** Finds a free port below the range from which the system takes the ports of outgoing connections; none twice. */
     static int freePort(String ip) throws IOException {
         while (true) {
             int port = 10_000 + (int) (Math.random() * 20_000);
             try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(ip))) {
-                return socket.getLocalPort();
+                if (USED_PORTS.add(port)) {
+                    return port;
+                }
             } catch (IOException taken) {
                 // Try another one.
             }
--- a/review/standin/SameIdCase.java
+++ b/review/standin/SameIdCase.java
@@ -21,10 +21,11 @@
         Machine first = machine("sidecar-zg-istok-1", "zg-istok", "planer");
         Machine second = machine("sidecar-zg-istok-2", "zg-istok", "knjiga");
         Machine third = machine("sidecar-zg-zapad-1", "zg-zapad", "planer");
+        Machine fourth = machine("sidecar-zg-sjever-1", "zg-sjever", "planer");
         Worker worker = null;
-        for (Machine machine : List.of(first, second, third)) {
+        for (Machine machine : List.of(first, second, third, fourth)) {
             machine.awaitReady();
-            String id = machine == first ? ID : machine == second ? "i-5d20aa17" : "i-02d9e6b4";
+            String id = machine == first ? ID : "i-of-" + machine.name;
             Worker started = worker(machine, id, System.currentTimeMillis(), 92, 1_500);
             started.startBeating();
             worker = machine == first ? started : worker;
