Split GatekeeperService

Cause: one class of 781 lines kept the executions, what the endpoint reports about itself, and the lost connections. Change: EndpointState holds the announcement, the notices, the leaving process and the advertisement to other hosts; LostConnections decides which losses show a crash; EndpointAnswers translates answers. Callers use GatekeeperService.endpointState(). No change of behaviour.

--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -191,7 +191,7 @@
         }
         configurationService.addChangeListener(this::configurationChanged);
         gatekeeperService.setCrashListener(membershipService::broadcastSuspicions);
-        gatekeeperService.setEndpointListener(membershipService::announceSelf);
+        gatekeeperService.endpointState().setListener(membershipService::announceSelf);
         lastTickMicros = loop.nowMicros();
         loop.scheduleRepeatedly(TICK_PERIOD_MICROS, this::tick);
         loop.scheduleRepeatedly(MembershipService.TICK_PERIOD_MICROS, membershipService::tick);
@@ -219,7 +219,7 @@
 
     private void configurationChanged() {
         state.suspects().release(state.configuration().current().released());
-        gatekeeperService.applyDrain();
+        gatekeeperService.endpointState().applyDrain();
     }
 
     private HostStatus status() {
@@ -247,7 +247,7 @@
         LOG.info("leaving: new work is refused, {} calls are in flight", router.inFlight());
         callHandler.refuseRootRequests();
         loop.execute(() -> {
-            gatekeeperService.stopAdmission();
+            gatekeeperService.endpointState().stopAdmission();
             membershipService.leave();
         });
         Thread.sleep(Math.min(LEAVE_SETTLE_MILLIS, settings.stopMillis()));
--- a/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
+++ b/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
@@ -1,11 +1,8 @@
 package org.anvillatch.node.call;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -13,13 +10,10 @@
 
 import com.codahale.metrics.MetricRegistry;
 import org.anvillatch.decision.admission.AdmissionAction;
-import org.anvillatch.decision.admission.ExecutionResult;
 import org.anvillatch.decision.admission.Gatekeeper;
 import org.anvillatch.decision.admission.GatekeeperStatus;
 import org.anvillatch.decision.admission.NestedCallStats;
 import org.anvillatch.decision.admission.Work;
-import org.anvillatch.decision.drain.EndpointPhase;
-import org.anvillatch.decision.model.EndpointNotice;
 import org.anvillatch.decision.model.OperationName;
 import org.anvillatch.decision.model.Outcome;
 import org.anvillatch.decision.model.RefusalReason;
@@ -30,47 +24,19 @@
 import org.anvillatch.node.endpoint.EndpointTransport;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Executes the decisions of this host's {@link Gatekeeper}: sends admitted calls to the endpoint and answers the
  * senders.
  *
  * <p>Invariants: each dispatch is answered exactly once; a dispatch that is answered "not run" was never sent to an
- * endpoint, or the endpoint that received it reported that it did not run it; a process of the endpoint that is leaving
- * gets no new work unless it announces itself again. Owned by the decision loop: all methods
- * are called on it.
+ * endpoint, or the endpoint that received it reported that it did not run it. Owned by the decision loop: all methods are
+ * called on it.
  */
 public final class GatekeeperService {
-    private static final Logger LOG = LoggerFactory.getLogger(GatekeeperService.class);
-    private static final int FIRST_SERVER_ERROR_STATUS = 500;
-
-    /**
-     * HTTP status by which the endpoint reports that the deadline has passed, which does not count as its own fault.
-     */
-    private static final int DEADLINE_STATUS = 504;
-
-    /** Minimum change of the endpoint's limit that is logged, as a fraction of the limit. */
-    private static final double LOGGED_LIMIT_CHANGE = 0.1;
-
-    /** Minimum change of the slots that is advertised to other hosts, as a fraction of the advertised slots. */
-    private static final double ADVERTISED_SLOTS_CHANGE = 0.25;
-
-    private static final int MAX_RECENTLY_ANSWERED = 1_000;
-
     /** Period of the gatekeeper's timer while it needs one, in microseconds. */
     private static final long TICK_PERIOD_MICROS = 10_000;
 
-    /** Period of the health check of a failing endpoint, in microseconds: a tenth of the minimum ejection time. */
-    private static final long HEALTH_CHECK_PERIOD_MICROS = 100_000;
-
-    /**
-     * Maximum time between the loss of a connection and the failed attempt to connect that shows a crash, in
-     * microseconds.
-     */
-    private static final long CRASH_WINDOW_MICROS = 1_000_000;
-
     private final DecisionLoop loop;
     private final HostState state;
     private final EndpointTransport client;
@@ -78,24 +44,10 @@
     private final MetricRegistry metrics;
     private final Map<Long, Execution> executions = new HashMap<>();
     private final Map<String, Execution> startedByCallPath = new HashMap<>();
-    private final Set<String> recentlyAnswered = new LinkedHashSet<>();
-    private final CrashSignal crashSignal;
-    private final Deque<LostExecution> lostExecutions = new ArrayDeque<>();
-    private Consumer<List<CrashSuspects.Suspicion>> crashListener = suspicions -> {};
-    private Runnable endpointListener = () -> {};
-    private EndpointAnnouncement endpoint;
-    private EndpointNotice notice = EndpointNotice.unrestricted("");
-
-    /** Whether the current process of the endpoint has answered this node. */
-    private boolean answered;
-
-    /** The process of the endpoint that is leaving, null if none is. */
-    private String leavingInstance;
-
-    private boolean stopping;
+    private final EndpointState endpointState;
+    private final LostConnections lostConnections;
     private boolean tickScheduled;
     private long nextExecution = 1;
-    private long crashCount;
 
     /**
      * Creates the service.
@@ -114,12 +66,13 @@
             CallDecisionRecorder decisions,
             MetricRegistry metrics,
             CrashSignal crashSignal) {
-        this.crashSignal = crashSignal;
         this.loop = loop;
         this.state = state;
         this.client = client;
         this.decisions = decisions;
         this.metrics = metrics;
+        this.endpointState = new EndpointState(loop, state, client, this::perform);
+        this.lostConnections = new LostConnections(state, endpointState, crashSignal);
     }
 
     /**
@@ -128,21 +81,18 @@
      * @param listener receives new suspicions against the requests that were running, on the loop
      */
     public void setCrashListener(Consumer<List<CrashSuspects.Suspicion>> listener) {
-        crashListener = listener;
+        lostConnections.setListener(listener);
     }
 
     /**
-     * Sets the listener for changes of the endpoint that its answers show.
+     * Returns what the endpoint reports about itself.
      *
-     * @param listener called on the loop when the endpoint starts or stops failing, says that it is leaving,
-     *     or can take much more or less work than it advertises
+     * @return the state of the endpoint, owned by the loop
      */
-    public void setEndpointListener(Runnable listener) {
-        endpointListener = listener;
+    public EndpointState endpointState() {
+        return endpointState;
     }
 
-    private record LostExecution(String fingerprint, long atMicros) {}
-
     /** A call that was dispatched to this host. Owned by the decision loop. */
     public final class Execution {
         private final long number;
@@ -246,7 +196,8 @@
         long number = nextExecution++;
         Execution execution = new Execution(number, message, reply, now);
         executions.put(number, execution);
-        applySenderNotice(message.notice());
+        endpointState.applySenderNotice(message.notice());
+        EndpointAnnouncement endpoint = endpointState.endpoint();
         if (endpoint != null && !endpoint.service().equals(message.operation().service())) {
             refuse(execution, RefusalReason.NO_ENDPOINT, 0);
         } else if (state.isQuarantined(message.fingerprint())) {
@@ -308,96 +259,6 @@
         }
     }
 
-    /**
-     * Handles the endpoint's announcement. A new instance replaces the current endpoint.
-     *
-     * @param announcement the announcement
-     */
-    public void endpointAnnounced(EndpointAnnouncement announcement) {
-        if (stopping) {
-            return;
-        }
-        leavingInstance = null;
-        boolean sameInstance = endpoint != null && endpoint.instance().equals(announcement.instance());
-        if (sameInstance && state.gatekeeper().phase() == EndpointPhase.SILENT) {
-            changePhase(EndpointPhase.SERVING);
-            applyDrain();
-            return;
-        }
-        if (sameInstance && state.gatekeeper().phase() == EndpointPhase.SERVING) {
-            return;
-        }
-        endpoint = announcement;
-        answered = false;
-        client.setMaxConnections(announcement.connections());
-        state.gatekeeper().endpointAnnounced(announcement.slots());
-        applyDrain();
-        advertise();
-    }
-
-    /**
-     * Refuses new work for a process of the endpoint that is leaving.
-     *
-     * @param instance identity of the process
-     */
-    public void endpointLeaving(String instance) {
-        leavingInstance = instance;
-        if (endpoint == null || endpoint.instance().equals(instance)) {
-            changePhase(EndpointPhase.LEAVING);
-        }
-    }
-
-    /** Refuses all new work from now on, whatever the endpoint announces, because this node stops. */
-    public void stopAdmission() {
-        stopping = true;
-        changePhase(EndpointPhase.LEAVING);
-    }
-
-    /**
-     * Returns whether a process of the endpoint is leaving.
-     *
-     * @param instance identity of the process
-     * @return true if it said so and has not announced itself since
-     */
-    public boolean isLeaving(String instance) {
-        return instance.equals(leavingInstance);
-    }
-
-    /**
-     * Changes the phase of the endpoint, unless its current process is leaving or this node stops.
-     *
-     * @param phase the new phase
-     */
-    public void changePhase(EndpointPhase phase) {
-        boolean leaving = stopping || endpoint != null && isLeaving(endpoint.instance());
-        if (leaving && phase != EndpointPhase.LEAVING) {
-            return;
-        }
-        if (state.gatekeeper().phase() != phase) {
-            perform(state.gatekeeper().changePhase(phase, loop.nowMicros()));
-            advertise();
-        }
-    }
-
-    /** Drains the endpoint or returns it to service, as operators have configured. */
-    public void applyDrain() {
-        Set<String> drained = state.drained();
-        boolean drain = drained.contains(state.membership().self().host().name())
-                || drained.contains(state.membership().self().domain());
-        changePhase(state.gatekeeper().phase().drained(drain));
-    }
-
-    private void advertise() {
-        String service = endpoint == null ? "" : endpoint.service();
-        EndpointPhase phase = state.gatekeeper().advertisedPhase(loop.nowMicros());
-        state.membership()
-                .advertiseEndpoint(
-                        service,
-                        state.gatekeeper().advertisedSlots(),
-                        phase,
-                        state.gatekeeper().serviceTimeMicros());
-    }
-
     /**
      * Finds a running execution by the identity that was sent to the endpoint.
      *
@@ -444,7 +305,7 @@
         record(execution, "start", "", 0);
         metrics.counter("gatekeeper.started").inc();
         execution.abort = client.send(
-                endpoint,
+                endpointState.endpoint(),
                 execution.name(),
                 execution.message,
                 execution.deadlineMicros - now,
@@ -457,8 +318,8 @@
         metrics.counter("gatekeeper.refused." + reason.wireName()).inc();
         String host = state.membership().self().host().name();
         long queuedMicros = loop.nowMicros() - execution.arrivedMicros;
-        CallAnswer.LoadReport report =
-                new CallAnswer.LoadReport(level, executionsInFlight(), 0, queuedMicros, false, restriction());
+        CallAnswer.LoadReport report = new CallAnswer.LoadReport(
+                level, executionsInFlight(), 0, queuedMicros, false, endpointState.restriction());
         String detail = "host " + host + " refuses: " + reason.wireName();
         execution.reply.accept(CallAnswer.refused(reason, detail, report, execution.budget.remaining(), host));
     }
@@ -472,124 +333,28 @@
         executions.remove(execution.number);
         startedByCallPath.remove(execution.message.context().path(), execution);
         long now = loop.nowMicros();
-        applyNotice(answer.notice(), now);
+        endpointState.applyNotice(answer.notice(), now);
         long durationMicros = now - execution.startedMicros;
         List<AdmissionAction> next = state.gatekeeper()
                 .recordEnd(
                         execution.number,
-                        executionResult(execution, answer),
+                        EndpointAnswers.executionResult(answer, execution.nestedFailed),
                         durationMicros,
                         execution.message.operation(),
                         execution.nestedStats,
                         now);
         List<CrashSuspects.Suspicion> suspicions = List.of();
         if (answer.result() == EndpointTransport.ExchangeResult.BROKEN) {
-            suspicions = handleLostConnection(execution, now);
+            suspicions = lostConnections.connectionLost(execution.message.fingerprint(), now);
         } else if (answer.result() == EndpointTransport.ExchangeResult.NOT_CONNECTED
                 || answer.result() == EndpointTransport.ExchangeResult.REPLACED) {
-            handleUnreachableEndpoint(now);
+            lostConnections.endpointUnreachable(now);
         } else if (answer.result() == EndpointTransport.ExchangeResult.ANSWERED) {
-            recordAnswered(execution.message.fingerprint());
+            lostConnections.recordAnswered(execution.message.fingerprint());
         }
         execution.reply.accept(toCallAnswer(execution, answer, durationMicros, suspicions));
         perform(next);
-        updateHealth();
-    }
-
-    /** Applies a notice in an answer of the endpoint; that of an earlier process and null are ignored. */
-    private void applyNotice(EndpointNotice received, long nowMicros) {
-        if (received != null && received.instance().equals(endpoint.instance())) {
-            answered = true;
-            recordNotice(received, nowMicros);
-        }
-    }
-
-    /**
-     * Applies a notice that a sender got from the current endpoint before this node was restarted. The limit is applied
-     * only until the endpoint has answered this node, which then knows better.
-     */
-    private void applySenderNotice(EndpointNotice known) {
-        if (known == null || endpoint == null || !known.instance().equals(endpoint.instance())) {
-            return;
-        }
-        if (!answered && !state.gatekeeper().isRateLimited() || known.leaving() && !isLeaving(known.instance())) {
-            recordNotice(known, loop.nowMicros());
-        }
-    }
-
-    private void recordNotice(EndpointNotice received, long nowMicros) {
-        logNotice(received);
-        state.gatekeeper().recordNotice(received, nowMicros);
-        if (received.leaving() && !isLeaving(received.instance())) {
-            endpointLeaving(received.instance());
-            endpointListener.run();
-        }
-        advertiseSlots();
-    }
-
-    /** Advertises the endpoint again if it can take much more or less work than other hosts know. */
-    private void advertiseSlots() {
-        int advertised = state.membership().self().slots();
-        int change = Math.abs(state.gatekeeper().advertisedSlots() - advertised);
-        if (!stopping && change > advertised * ADVERTISED_SLOTS_CHANGE) {
-            advertise();
-            endpointListener.run();
-        }
-    }
-
-    /** Returns the restriction that the current endpoint names, or null if it names none. */
-    private EndpointNotice restriction() {
-        if (endpoint == null) {
-            return null;
-        }
-        EndpointNotice current = new EndpointNotice(
-                endpoint.instance(), state.gatekeeper().limitPerSecond(), isLeaving(endpoint.instance()));
-        return current.isRestriction() ? current : null;
-    }
-
-    /** Logs a notice of the endpoint if it differs from the previous one by more than a small change of the limit. */
-    private void logNotice(EndpointNotice next) {
-        double limit = notice.maxRequestsPerSecond();
-        boolean limitChanged = next.isLimited() && notice.isLimited()
-                ? Math.abs(next.maxRequestsPerSecond() - limit) > limit * LOGGED_LIMIT_CHANGE
-                : Double.compare(next.maxRequestsPerSecond(), limit) != 0;
-        if (limitChanged || next.leaving() != notice.leaving()) {
-            LOG.info(
-                    "endpoint instance={} limitPerSecond={} before={} leaving={}",
-                    next.instance(),
-                    next.maxRequestsPerSecond(),
-                    limit,
-                    next.leaving());
-            notice = next;
-        }
-    }
-
-    /** Advertises the endpoint again if it has started or stopped failing, or if its service time has changed. */
-    private void updateHealth() {
-        EndpointPhase next = state.gatekeeper().advertisedPhase(loop.nowMicros());
-        EndpointPhase advertised = state.membership().self().phase();
-        boolean healthChanged = (next == EndpointPhase.FAILING) != (advertised == EndpointPhase.FAILING);
-        long serviceTimeMicros = state.gatekeeper().serviceTimeMicros();
-        if (healthChanged || serviceTimeMicros != state.membership().self().serviceTimeMicros()) {
-            advertise();
-        }
-        if (!healthChanged) {
-            return;
-        }
-        LOG.info("endpoint phase={} before={}", next, advertised);
-        endpointListener.run();
-        if (next == EndpointPhase.FAILING) {
-            scheduleHealthCheck();
-        }
-    }
-
-    private void scheduleHealthCheck() {
-        loop.schedule(HEALTH_CHECK_PERIOD_MICROS, () -> {
-            updateHealth();
-            if (state.membership().self().phase() == EndpointPhase.FAILING) {
-                scheduleHealthCheck();
-            }
-        });
+        endpointState.updateHealth();
     }
 
     /**
@@ -609,93 +374,6 @@
                         parent.message.operation(), called, answer.report().level(), loop.nowMicros());
     }
 
-    private static ExecutionResult executionResult(Execution execution, EndpointTransport.EndpointAnswer answer) {
-        return switch (answer.result()) {
-            case ANSWERED -> isEndpointFault(execution, answer) ? ExecutionResult.FAILED : ExecutionResult.ANSWERED;
-            case REJECTED -> ExecutionResult.REJECTED;
-            case TIMED_OUT -> ExecutionResult.TIMED_OUT;
-            case ABORTED -> ExecutionResult.CANCELLED;
-            case BROKEN, MISMATCHED, NOT_CONNECTED, REPLACED -> ExecutionResult.BROKEN;
-        };
-    }
-
-    /**
-     * Returns whether the endpoint itself failed the call: it answered with an error although no nested call failed.
-     */
-    private static boolean isEndpointFault(Execution execution, EndpointTransport.EndpointAnswer answer) {
-        return answer.result() == EndpointTransport.ExchangeResult.ANSWERED
-                && answer.status() >= FIRST_SERVER_ERROR_STATUS
-                && answer.status() != DEADLINE_STATUS
-                && !execution.nestedFailed;
-    }
-
-    private void recordAnswered(String fingerprint) {
-        recentlyAnswered.remove(fingerprint);
-        recentlyAnswered.add(fingerprint);
-        if (recentlyAnswered.size() > MAX_RECENTLY_ANSWERED) {
-            recentlyAnswered.remove(recentlyAnswered.iterator().next());
-        }
-    }
-
-    /**
-     * Handles an execution whose connection was lost. If the loss is taken as a crash, the request becomes a suspect
-     * unless this endpoint has answered it recently: a request that crashes endpoints is assumed to crash each of them.
-     * If not, the loss is kept until the endpoint proves unreachable.
-     */
-    private List<CrashSuspects.Suspicion> handleLostConnection(Execution execution, long nowMicros) {
-        if (crashSignal == CrashSignal.CONNECTION_REFUSED) {
-            removeLostExecutionsBefore(nowMicros - CRASH_WINDOW_MICROS);
-            lostExecutions.addLast(new LostExecution(execution.message.fingerprint(), nowMicros));
-            return List.of();
-        }
-        if (state.gatekeeper().phase() == EndpointPhase.SERVING) {
-            crashCount++;
-            changePhase(EndpointPhase.SILENT);
-        }
-        String crashId = state.membership().self().host() + "/" + crashCount;
-        String fingerprint = execution.message.fingerprint();
-        if (recentlyAnswered.contains(fingerprint)) {
-            return List.of();
-        }
-        CrashSuspects.Suspicion suspicion = new CrashSuspects.Suspicion(fingerprint, crashId);
-        if (state.suspects().add(suspicion)) {
-            crashListener.accept(List.of(suspicion));
-        }
-        return List.of(suspicion);
-    }
-
-    /**
-     * Handles an endpoint that accepts no connections or was replaced. Requests whose connections were lost shortly
-     * before become suspects.
-     */
-    private void handleUnreachableEndpoint(long nowMicros) {
-        changePhase(EndpointPhase.SILENT);
-        removeLostExecutionsBefore(nowMicros - CRASH_WINDOW_MICROS);
-        List<CrashSuspects.Suspicion> suspicions = new ArrayList<>();
-        if (!lostExecutions.isEmpty()) {
-            crashCount++;
-        }
-        String crashId = state.membership().self().host() + "/" + crashCount;
-        for (LostExecution lost : lostExecutions) {
-            CrashSuspects.Suspicion suspicion = new CrashSuspects.Suspicion(lost.fingerprint(), crashId);
-            if (!recentlyAnswered.contains(lost.fingerprint())
-                    && state.suspects().add(suspicion)) {
-                suspicions.add(suspicion);
-            }
-        }
-        lostExecutions.clear();
-        if (!suspicions.isEmpty()) {
-            crashListener.accept(suspicions);
-        }
-    }
-
-    /** Removes losses too old to be attributed to a crash; those without a crash would otherwise accumulate. */
-    private void removeLostExecutionsBefore(long micros) {
-        while (!lostExecutions.isEmpty() && lostExecutions.peekFirst().atMicros() <= micros) {
-            lostExecutions.removeFirst();
-        }
-    }
-
     private CallAnswer toCallAnswer(
             Execution execution,
             EndpointTransport.EndpointAnswer answer,
@@ -703,52 +381,13 @@
             List<CrashSuspects.Suspicion> suspicions) {
         String host = state.membership().self().host().name();
         int level = state.gatekeeper().shedLevelFor(execution.message.operation(), loop.nowMicros());
-        int unspent = execution.budget.remaining();
         long queuedMicros = execution.startedMicros - execution.arrivedMicros + execution.nestedStats.queuedMicros();
-        boolean endpointFault = isEndpointFault(execution, answer) && !execution.hasNestedCalls();
+        boolean endpointFault =
+                EndpointAnswers.isEndpointFault(answer, execution.nestedFailed) && !execution.hasNestedCalls();
         CallAnswer.LoadReport report = new CallAnswer.LoadReport(
-                level, executionsInFlight(), durationMicros, queuedMicros, endpointFault, restriction());
-        return switch (answer.result()) {
-            case ANSWERED -> {
-                Outcome outcome = answer.status() >= FIRST_SERVER_ERROR_STATUS ? Outcome.FAILED : Outcome.COMPLETE;
-                yield new CallAnswer(
-                        outcome,
-                        null,
-                        answer.status(),
-                        answer.body(),
-                        unspent,
-                        report,
-                        null,
-                        host,
-                        "",
-                        List.of(),
-                        answer.headers());
-            }
-            case REJECTED ->
-                CallAnswer.refused(
-                        RefusalReason.ENDPOINT_REJECTED, "the endpoint did not run the request", report, unspent, host);
-            case REPLACED ->
-                CallAnswer.refused(
-                        RefusalReason.ENDPOINT_REJECTED,
-                        "another endpoint uses the address announced on host " + host,
-                        report,
-                        unspent,
-                        host);
-            case NOT_CONNECTED ->
-                CallAnswer.refused(
-                        RefusalReason.NO_ENDPOINT,
-                        "the endpoint of host " + host + " is not reachable",
-                        report,
-                        unspent,
-                        host);
-            case TIMED_OUT, ABORTED, BROKEN, MISMATCHED ->
-                CallAnswer.unknown(
-                                "the endpoint of host " + host + " gave no complete answer: " + answer.detail(),
-                                host,
-                                suspicions)
-                        .withReport(report)
-                        .withUnspentRetries(execution.hasNestedCalls() ? 0 : unspent);
-        };
+                level, executionsInFlight(), durationMicros, queuedMicros, endpointFault, endpointState.restriction());
+        return EndpointAnswers.toCallAnswer(
+                answer, host, report, execution.budget.remaining(), execution.hasNestedCalls(), suspicions);
     }
 
     /**
@@ -760,15 +399,6 @@
         return executions.size();
     }
 
-    /**
-     * Returns the announcement of the current endpoint.
-     *
-     * @return the announcement, or null if there was none yet
-     */
-    public EndpointAnnouncement endpoint() {
-        return endpoint;
-    }
-
     private void record(Execution execution, String result, String reason, int level) {
         DispatchMessage message = execution.message;
         String host = state.membership().self().host().name();
--- a/node/src/main/java/org/anvillatch/node/endpoint/EndpointHandler.java
+++ b/node/src/main/java/org/anvillatch/node/endpoint/EndpointHandler.java
@@ -109,7 +109,7 @@
             return;
         }
         lastContactMicros = loop.nowMicros();
-        gatekeeperService.endpointAnnounced(announcement);
+        gatekeeperService.endpointState().announced(announcement);
         HttpResponses.json(response, OK, endpointStatus(), callback);
     }
 
@@ -134,7 +134,7 @@
     }
 
     private void handleHeartbeat(Heartbeat heartbeat, Response response, Callback callback) {
-        EndpointAnnouncement endpoint = gatekeeperService.endpoint();
+        EndpointAnnouncement endpoint = gatekeeperService.endpointState().endpoint();
         if (endpoint == null || !endpoint.instance().equals(heartbeat.instance())) {
             String detail = "instance \"" + heartbeat.instance() + "\" has not announced itself";
             HttpResponses.badRequest(response, CONFLICT, detail, callback);
@@ -143,16 +143,16 @@
         lastContactMicros = loop.nowMicros();
         reportedRunning = heartbeat.running();
         if (state.gatekeeper().phase() == EndpointPhase.SILENT) {
-            gatekeeperService.changePhase(EndpointPhase.SERVING);
-            gatekeeperService.applyDrain();
+            gatekeeperService.endpointState().changePhase(EndpointPhase.SERVING);
+            gatekeeperService.endpointState().applyDrain();
         }
         HttpResponses.json(response, OK, endpointStatus(), callback);
     }
 
     private void handleDeregistration(Response response, Callback callback) {
-        EndpointAnnouncement endpoint = gatekeeperService.endpoint();
+        EndpointAnnouncement endpoint = gatekeeperService.endpointState().endpoint();
         if (endpoint != null) {
-            gatekeeperService.endpointLeaving(endpoint.instance());
+            gatekeeperService.endpointState().leaving(endpoint.instance());
         }
         HttpResponses.json(response, ACCEPTED, endpointStatus(), callback);
     }
@@ -168,7 +168,7 @@
     public void checkHeartbeat() {
         boolean heartbeatOverdue = loop.nowMicros() - lastContactMicros > HEARTBEAT_TIMEOUT_MICROS;
         if (heartbeatOverdue && state.gatekeeper().phase() == EndpointPhase.SERVING) {
-            gatekeeperService.changePhase(EndpointPhase.SILENT);
+            gatekeeperService.endpointState().changePhase(EndpointPhase.SILENT);
         }
     }
 
--- a/node/src/test/java/org/anvillatch/node/call/GatekeeperServiceTest.java
+++ b/node/src/test/java/org/anvillatch/node/call/GatekeeperServiceTest.java
@@ -106,8 +106,8 @@
     @Test
     void endpointThatLeavesAccordingToItsAnswerGetsNoNewWork() {
         List<String> changes = new ArrayList<>();
-        service.setEndpointListener(() -> changes.add("changed"));
-        service.endpointAnnounced(FIRST);
+        service.endpointState().setListener(() -> changes.add("changed"));
+        service.endpointState().announced(FIRST);
         answerWith(new EndpointNotice("i@1", Double.POSITIVE_INFINITY, true));
         assertRefuses(RefusalReason.DRAINING);
         assertThat(changes).hasSize(1);
@@ -117,22 +117,22 @@
     /** Guards against a leaving endpoint that returns to service because its connections failed in between. */
     @Test
     void failedConnectionDoesNotEndTheLeaving() {
-        service.endpointAnnounced(FIRST);
+        service.endpointState().announced(FIRST);
         dispatch();
-        service.endpointLeaving("i@1");
+        service.endpointState().leaving("i@1");
         transport.answerFirst(EndpointTransport.ExchangeResult.NOT_CONNECTED, null);
         answers.clear();
-        service.changePhase(EndpointPhase.SERVING);
+        service.endpointState().changePhase(EndpointPhase.SERVING);
         assertRefuses(RefusalReason.DRAINING);
     }
 
     /** Guards against a new process of the endpoint that stays without work. */
     @Test
     void lateNoticeOfAnEarlierProcessIsIgnored() {
-        service.endpointAnnounced(FIRST);
+        service.endpointState().announced(FIRST);
         dispatch();
-        service.endpointLeaving("i@1");
-        service.endpointAnnounced(SECOND);
+        service.endpointState().leaving("i@1");
+        service.endpointState().announced(SECOND);
         transport.answerFirst(EndpointTransport.ExchangeResult.ANSWERED, new EndpointNotice("i@1", 0, true));
         dispatch();
         dispatch();
@@ -142,7 +142,7 @@
     /** Guards against a burst at an endpoint whose node was restarted and does not know its limit any more. */
     @Test
     void restartedNodeLearnsTheLimitFromItsSenders() {
-        service.endpointAnnounced(FIRST);
+        service.endpointState().announced(FIRST);
         for (int request = 0; request < 20; request++) {
             dispatch(new EndpointNotice("i@1", 10, false));
         }
@@ -152,7 +152,7 @@
     /** Guards against a sender with an old restriction that limits an endpoint without need. */
     @Test
     void endpointKnowsItsLimitBetterThanSenders() {
-        service.endpointAnnounced(FIRST);
+        service.endpointState().announced(FIRST);
         answerWith(EndpointNotice.unrestricted("i@1"));
         for (int request = 0; request < 20; request++) {
             dispatch(new EndpointNotice("i@1", 10, false));
@@ -162,7 +162,7 @@
 
     @Test
     void restrictionOfAnEarlierProcessIsIgnored() {
-        service.endpointAnnounced(SECOND);
+        service.endpointState().announced(SECOND);
         for (int request = 0; request < 20; request++) {
             dispatch(new EndpointNotice("i@1", 0, true));
         }
@@ -172,7 +172,7 @@
     /** Guards against new work for a leaving endpoint after its node, which knew of the leaving, was restarted. */
     @Test
     void restartedNodeLearnsFromSendersThatTheEndpointIsLeaving() {
-        service.endpointAnnounced(FIRST);
+        service.endpointState().announced(FIRST);
         answerWith(EndpointNotice.unrestricted("i@1"));
         dispatch(new EndpointNotice("i@1", Double.POSITIVE_INFINITY, true));
         assertThat(transport.sent).isEmpty();
@@ -182,18 +182,18 @@
     /** Guards against a heartbeat that puts the endpoint of a stopping node back into service (incident inc-0e98). */
     @Test
     void endpointOfAStoppingNodeDoesNotReturn() {
-        service.endpointAnnounced(FIRST);
-        service.stopAdmission();
-        service.endpointAnnounced(FIRST);
+        service.endpointState().announced(FIRST);
+        service.endpointState().stopAdmission();
+        service.endpointState().announced(FIRST);
         assertRefuses(RefusalReason.DRAINING);
-        service.endpointAnnounced(SECOND);
+        service.endpointState().announced(SECOND);
         assertRefuses(RefusalReason.DRAINING);
     }
 
     /** Load pattern: one endpoint of a service names a limit, and senders prefer endpoints whose slots are free. */
     @Test
     void advertisesOnlySlotsThatTheLimitCanFill() {
-        service.endpointAnnounced(FIRST);
+        service.endpointState().announced(FIRST);
         answerWith(EndpointNotice.unrestricted("i@1"));
         assertThat(state.membership().self().slots()).isEqualTo(SLOTS);
         answerWith(new EndpointNotice("i@1", 10, false));
