--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -117,7 +117,8 @@
         callHandler = new CallHandler(loop, state, router, idempotencyService, gatekeeperService, decisions, metrics);
         endpointHandler = new EndpointHandler(loop, state, gatekeeperService);
         CommandHandler.AccessKeys keys = new CommandHandler.AccessKeys(settings.readKey(), settings.changeKey());
-        CommandHandler commands = new CommandHandler(loop, state, changes, questions, keys, metrics);
+        Readiness readiness = new Readiness(loop, scheduler, () -> "serving".equals(processState));
+        CommandHandler commands = new CommandHandler(loop, state, changes, questions, keys, metrics, readiness);
         PeerRequestHandler commonHandler = new PeerRequestHandler(
                 loop, state, gatekeeperService, membershipService, new RouteTableService(loop, state, peers));
         NodePeerHandler peerHandler = new NodePeerHandler(
@@ -161,6 +162,7 @@
     }
 
     private void registerMetrics() {
+        metrics.register("tasks.failed", (Gauge<Long>) loop.errors()::failures);
         metrics.register("calls.in_flight", (Gauge<Integer>) router::inFlight);
         metrics.register("gatekeeper.in_flight", (Gauge<Integer>) gatekeeperService::inFlight);
         metrics.register("gatekeeper.level", (Gauge<Integer>)
--- a/node/src/main/java/org/anvillatch/node/call/CallRouter.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallRouter.java
@@ -92,8 +92,13 @@
     public RoutedCall route(Call call, Consumer<CallAnswer> reply) {
         RoutedCall routedCall = new RoutedCall(call, reply);
         inFlight++;
-        retryBucket(call).recordFirstAttempt();
-        routedCall.dispatchToNextHost();
+        try {
+            retryBucket(call).recordFirstAttempt();
+            routedCall.dispatchToNextHost();
+        } catch (RuntimeException | Error failure) {
+            routedCall.abandon();
+            throw failure;
+        }
         return routedCall;
     }
 
@@ -124,6 +129,9 @@
         private boolean cancelled;
         private boolean completed;
 
+        /** Whether the call has failed in this process, so that later answers to its dispatches are ignored. */
+        private boolean abandoned;
+
         private RoutedCall(Call call, Consumer<CallAnswer> reply) {
             this.call = call;
             this.reply = reply;
@@ -146,6 +154,32 @@
             cancelDispatch.run();
         }
 
+        /** Ends a call whose routing failed in this process; its dispatch, if there is one, may still run. */
+        private void abandon() {
+            if (!completed) {
+                completed = true;
+                abandoned = true;
+                inFlight--;
+                cancelDispatch.run();
+            }
+        }
+
+        /** Handles a result of a dispatch; a call that fails here is answered, since its dispatch may have run. */
+        private void handleResult(Runnable handling) {
+            if (abandoned) {
+                return;
+            }
+            try {
+                handling.run();
+            } catch (RuntimeException | Error failure) {
+                if (!completed) {
+                    abandon();
+                    reply.accept(CallAnswer.unknown("the routing failed", "", List.of()));
+                }
+                throw failure;
+            }
+        }
+
         private void dispatchToNextHost() {
             long now = loop.nowMicros();
             RefusalReason refusal = refusalBeforeRouting(now);
@@ -207,7 +241,8 @@
         }
 
         private void dispatchLocally(Member host, DispatchMessage message) {
-            long execution = gatekeeperService.dispatch(message, answer -> handleAnswer(host, answer));
+            long execution =
+                    gatekeeperService.dispatch(message, answer -> handleResult(() -> handleAnswer(host, answer)));
             cancelDispatch = () -> gatekeeperService.cancel(execution);
         }
 
@@ -217,7 +252,7 @@
                         @Override
                         public void answered(PeerMessage answer) {
                             if (answer instanceof CallAnswer callAnswer) {
-                                RoutedCall.this.handleAnswer(host, callAnswer);
+                                handleResult(() -> handleAnswer(host, callAnswer));
                             } else {
                                 failed(PeerClient.PeerFailure.NO_ANSWER);
                             }
@@ -225,7 +260,7 @@
 
                         @Override
                         public void failed(PeerClient.PeerFailure failure) {
-                            handleFailure(host, failure);
+                            handleResult(() -> handleFailure(host, failure));
                         }
                     });
             cancelDispatch = () -> peers.cancel(pending);
--- a/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
+++ b/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
@@ -156,6 +156,7 @@
         private Runnable abort = () -> {};
         private long startedMicros;
         private boolean started;
+        private boolean replied;
         private int nextCallNumber;
         private NestedCallStats nestedStats = NestedCallStats.NONE;
         private boolean nestedFailed;
@@ -468,7 +469,20 @@
         return status.running() + status.waiting();
     }
 
+    /** Completes an execution; a sender on this host waits without a timeout, so it is answered also after a failure. */
     private void completeExecution(Execution execution, EndpointTransport.EndpointAnswer answer) {
+        try {
+            recordCompletion(execution, answer);
+        } catch (RuntimeException | Error failure) {
+            if (!execution.replied) {
+                execution.replied = true;
+                execution.reply.accept(CallAnswer.unknown("the gatekeeper failed", "", List.of()));
+            }
+            throw failure;
+        }
+    }
+
+    private void recordCompletion(Execution execution, EndpointTransport.EndpointAnswer answer) {
         executions.remove(execution.number);
         startedByCallPath.remove(execution.message.context().path(), execution);
         long now = loop.nowMicros();
@@ -491,7 +505,9 @@
         } else if (answer.result() == EndpointTransport.ExchangeResult.ANSWERED) {
             recordAnswered(execution.message.fingerprint());
         }
-        execution.reply.accept(toCallAnswer(execution, answer, durationMicros, suspicions));
+        CallAnswer callAnswer = toCallAnswer(execution, answer, durationMicros, suspicions);
+        execution.replied = true;
+        execution.reply.accept(callAnswer);
         perform(next);
         updateHealth();
     }
--- a/node/src/main/java/org/anvillatch/node/loop/DecisionLoop.java
+++ b/node/src/main/java/org/anvillatch/node/loop/DecisionLoop.java
@@ -23,13 +23,27 @@
     private static final long NANOS_PER_MICRO = 1_000;
     private static final long STOP_TIMEOUT_SECONDS = 1;
 
+    /** Time after which a task is submitted again that could not be submitted for lack of memory, in microseconds. */
+    private static final long RESUBMIT_DELAY_MICROS = 10_000;
+
     private final ScheduledThreadPoolExecutor timers;
     private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
     private final AtomicInteger unfinishedTasks = new AtomicInteger();
+    private final ErrorMonitor errors;
     private volatile boolean stopped;
 
     /** Creates the loop; {@link #start()} starts its timer thread. */
     public DecisionLoop() {
+        this(new ErrorMonitor());
+    }
+
+    /**
+     * Creates the loop with its own handling of failed tasks.
+     *
+     * @param errors records the failures of tasks
+     */
+    public DecisionLoop(ErrorMonitor errors) {
+        this.errors = errors;
         timers = new ScheduledThreadPoolExecutor(1, task -> {
             Thread thread = new Thread(task, "decision-timers");
             thread.setDaemon(true);
@@ -72,7 +86,7 @@
      * @return handle that cancels the task
      */
     public ScheduledFuture<?> schedule(long delayMicros, Runnable task) {
-        return timers.schedule(() -> execute(task), Math.max(0, delayMicros), TimeUnit.MICROSECONDS);
+        return timers.schedule(() -> submitFromTimer(task), Math.max(0, delayMicros), TimeUnit.MICROSECONDS);
     }
 
     /**
@@ -82,16 +96,47 @@
      * @param task the task
      */
     public void scheduleRepeatedly(long periodMicros, Runnable task) {
-        timers.scheduleWithFixedDelay(() -> execute(task), periodMicros, periodMicros, TimeUnit.MICROSECONDS);
+        timers.scheduleWithFixedDelay(
+                () -> {
+                    try {
+                        execute(task);
+                    } catch (RuntimeException | Error failure) {
+                        // The executor would never run the task again.
+                        errors.record(failure, nowMicros());
+                    }
+                },
+                periodMicros,
+                periodMicros,
+                TimeUnit.MICROSECONDS);
+    }
+
+    /** Submits a task whose timer has expired, and tries again if there was no memory to submit it. */
+    private void submitFromTimer(Runnable task) {
+        try {
+            execute(task);
+        } catch (OutOfMemoryError failure) {
+            errors.record(failure, nowMicros());
+            timers.schedule(() -> submitFromTimer(task), RESUBMIT_DELAY_MICROS, TimeUnit.MICROSECONDS);
+        }
+    }
+
+    /**
+     * Returns the record of failed tasks.
+     *
+     * @return the monitor
+     */
+    public ErrorMonitor errors() {
+        return errors;
     }
 
     private void runTasks() {
         do {
             try {
                 tasks.remove().run();
-            } catch (RuntimeException failure) {
-                // A failed task must not stop repeated tasks or prevent later ones from running.
-                LOG.error("decision task failed", failure);
+            } catch (RuntimeException | Error failure) {
+                // A failed task must not stop repeated tasks or prevent later ones from running: an error that left
+                // this loop would leave the count of unfinished tasks above 0 for good.
+                errors.record(failure, nowMicros());
             }
         } while (unfinishedTasks.decrementAndGet() > 0);
     }
--- a/node/src/main/java/org/anvillatch/node/operator/CommandHandler.java
+++ b/node/src/main/java/org/anvillatch/node/operator/CommandHandler.java
@@ -9,6 +9,7 @@
 import org.anvillatch.decision.configuration.Finding;
 import org.anvillatch.language.Script;
 import org.anvillatch.language.ScriptParser;
+import org.anvillatch.node.Readiness;
 import org.anvillatch.node.caller.HttpResponses;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
@@ -21,13 +22,17 @@
 import org.eclipse.jetty.util.Fields;
 
 /**
- * Executes operators' scripts ({@code POST /v1/command}) and serves metrics ({@code GET /metrics}). Thread safe.
+ * Executes operators' scripts ({@code POST /v1/command}), serves metrics ({@code GET /metrics}) and answers whether this
+ * node can serve ({@code GET /readiness}). Thread safe.
  */
 public final class CommandHandler extends Handler.Abstract.NonBlocking {
     private static final String COMMAND_PATH = "/v1/command";
     private static final String METRICS_PATH = "/metrics";
+    private static final String READINESS_PATH = "/readiness";
     private static final String BEARER = "Bearer ";
     private static final int MAX_BODY_BYTES = 400_000;
+    private static final int OK = 200;
+    private static final int SERVICE_UNAVAILABLE = 503;
     private static final int CONTENT_TOO_LARGE = 413;
     private static final int METHOD_NOT_ALLOWED = 405;
 
@@ -37,6 +42,7 @@
     private final QuestionCommand questions;
     private final AccessKeys keys;
     private final MetricRegistry metrics;
+    private final Readiness readiness;
 
     /**
      * Access keys of operators. Immutable and thread safe.
@@ -69,6 +75,7 @@
      * @param questions answers questions
      * @param keys access keys of operators
      * @param metrics registry of the served metrics
+     * @param readiness whether this node can serve
      */
     public CommandHandler(
             DecisionLoop loop,
@@ -76,7 +83,9 @@
             ChangeCommand changes,
             QuestionCommand questions,
             AccessKeys keys,
-            MetricRegistry metrics) {
+            MetricRegistry metrics,
+            Readiness readiness) {
+        this.readiness = readiness;
         this.loop = loop;
         this.state = state;
         this.changes = changes;
@@ -93,6 +102,13 @@
             loop.execute(() -> HttpResponses.text(response, MetricsText.of(metrics), callback));
             return true;
         }
+        if (path.equals(READINESS_PATH)) {
+            readiness.check(ready -> {
+                response.setStatus(ready ? OK : SERVICE_UNAVAILABLE);
+                response.write(true, null, callback);
+            });
+            return true;
+        }
         if (!path.equals(COMMAND_PATH)) {
             return false;
         }
