Authenticate callers by the API keys of teams

Change: the configuration's tenants are decoded into teams with key hashes, and travel in the route table between hosts. A request without a valid key gets 401 unless its route is public or no configuration is known (503). Queued requests, late dispatches and further dispatches of a removed key are refused (401), of a moved key too (503).

--- a/decision/src/main/java/org/anvillatch/decision/model/RefusalReason.java
+++ b/decision/src/main/java/org/anvillatch/decision/model/RefusalReason.java
@@ -27,7 +27,13 @@
     /** The idempotency key could not be claimed, so the request was not run. */
     CLAIM_UNAVAILABLE(503, true, false),
     /** The caller or the parent call cancelled the request. */
-    CANCELLED(499, false, false);
+    CANCELLED(499, false, false),
+    /** The request carries no API key, or one that belongs to no team. */
+    UNAUTHENTICATED(401, false, false),
+    /** The API key of the request was moved to another team before the request started. */
+    TEAM_CHANGED(503, true, false),
+    /** The team has used up its allowance. */
+    ALLOWANCE(429, true, false);
 
     private final int status;
     private final boolean retryAfter;
--- a/decision/src/main/java/org/anvillatch/decision/routing/ActiveRoutes.java
+++ b/decision/src/main/java/org/anvillatch/decision/routing/ActiveRoutes.java
@@ -3,33 +3,70 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
+import org.anvillatch.decision.model.RefusalReason;
+import org.anvillatch.decision.team.RevokedKeys;
+import org.anvillatch.decision.team.TeamDirectory;
+
 /**
- * The routes that a host currently applies.
+ * The routes and teams that a host currently applies.
  *
- * <p>Invariant: the version never decreases during the lifetime of the process. Not thread safe: owned by the host's
+ * <p>Invariants: the version never decreases during the lifetime of the process; a table that names no teams because
+ * its sender does not know them never replaces one that does. Not thread safe: owned by the host's
  * decision loop.
  */
 public final class ActiveRoutes {
     private final WeightedRoundRobin split = new WeightedRoundRobin();
+    private final RevokedKeys revokedKeys = new RevokedKeys();
+    private TeamDirectory teams = TeamDirectory.EMPTY;
     private RouteTable table;
     private RouteIndex index;
 
     /**
      * Replaces the current table by a newer one.
      *
-     * @param candidate table that replaces the current one if its version is larger
+     * @param candidate table that replaces the current one if its version is larger, or if it has the same version and
+     *     names the teams that the current one lacks
      * @return true if the current table was replaced
      */
     public boolean updateIfNewer(RouteTable candidate) {
-        if (table != null && candidate.version() <= table.version()) {
+        if (table != null && !replaces(candidate)) {
             return false;
         }
         table = candidate;
         index = new RouteIndex(candidate);
+        teams = candidate.teams() == null ? TeamDirectory.EMPTY : new TeamDirectory(candidate.teams());
+        revokedKeys.update(teams);
         split.retain(candidate);
         return true;
     }
 
+    private boolean replaces(RouteTable candidate) {
+        if (candidate.teams() == null) {
+            return candidate.version() > table.version() && teams.isEmpty();
+        }
+        return candidate.version() > table.version() || candidate.version() == table.version() && table.teams() == null;
+    }
+
+    /**
+     * Returns the teams of the current table.
+     *
+     * @return the teams, never null
+     */
+    public TeamDirectory teams() {
+        return teams;
+    }
+
+    /**
+     * Returns the reason why a root request that has not started must be refused because its key was revoked.
+     *
+     * @param keyId id of the key that the request carried, empty if it carried none
+     * @param team team to which the key belonged when the request was accepted
+     * @return the reason, or null if the key was not revoked
+     */
+    public RefusalReason revocationOf(String keyId, String team) {
+        return revokedKeys.refusalOf(keyId, team);
+    }
+
     /**
      * Returns the current table.
      *
--- a/decision/src/main/java/org/anvillatch/decision/routing/RequestRoute.java
+++ b/decision/src/main/java/org/anvillatch/decision/routing/RequestRoute.java
@@ -14,6 +14,7 @@
  * @param targetLatencyMillis target for the latency of an answer, in milliseconds
  * @param importance order of refusal, 0 to 15; the highest importance is refused last
  * @param maxAttempts maximum number of endpoints to which one request is sent, at least 1
+ * @param isPublic whether requests need no API key
  */
 public record RequestRoute(
         String name,
@@ -24,9 +25,34 @@
         long timeoutMillis,
         long targetLatencyMillis,
         int importance,
-        int maxAttempts) {
+        int maxAttempts,
+        boolean isPublic) {
     /** Copies the list of services. */
     public RequestRoute {
         services = List.copyOf(services);
     }
+
+    /** Creates a route whose requests need an API key if the configuration has teams. */
+    public RequestRoute(
+            String name,
+            String host,
+            String pathPrefix,
+            List<WeightedService> services,
+            boolean idempotent,
+            long timeoutMillis,
+            long targetLatencyMillis,
+            int importance,
+            int maxAttempts) {
+        this(
+                name,
+                host,
+                pathPrefix,
+                services,
+                idempotent,
+                timeoutMillis,
+                targetLatencyMillis,
+                importance,
+                maxAttempts,
+                false);
+    }
 }
--- a/decision/src/test/java/org/anvillatch/decision/routing/ActiveRoutesTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/routing/ActiveRoutesTest.java
@@ -1,10 +1,14 @@
 package org.anvillatch.decision.routing;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 
+import org.anvillatch.decision.model.RefusalReason;
+import org.anvillatch.decision.team.ApiKeyHash;
+import org.anvillatch.decision.team.Team;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -56,6 +60,42 @@
         assertThat(matchedName("book.example", "/x")).isEqualTo("new");
     }
 
+    private static RouteTable tableWithTeams(long version, List<Team> teams) {
+        return new RouteTable(version, List.of(), Map.of(), new RequestLimits(1, 1, 1), teams);
+    }
+
+    /** Guards against a host of an earlier version, which forwards tables without their teams, that disables the keys. */
+    @Test
+    void tableThatLacksTheTeamsReplacesNoTableWithTeams() {
+        Team blue = new Team("blue", Team.NO_IMPORTANCE, 0, 0, List.of(ApiKeyHash.of("a")));
+        assertThat(routes.updateIfNewer(tableWithTeams(1, null))).isTrue();
+        assertThat(routes.updateIfNewer(tableWithTeams(1, List.of(blue)))).isTrue();
+        assertThat(routes.updateIfNewer(tableWithTeams(2, null))).isFalse();
+        assertThat(routes.teams().findByKey(ApiKeyHash.of("a"))).hasValue(blue);
+        assertThat(routes.teams().findByKey(ApiKeyHash.of("b"))).isEmpty();
+        assertThat(routes.updateIfNewer(tableWithTeams(3, List.of()))).isTrue();
+        assertThat(routes.teams().isEmpty()).isTrue();
+    }
+
+    /** Guards against memory that grows with each replaced key, and against a key that stays revoked when it returns. */
+    @Test
+    void revokedKeysAreBoundedAndEndWhenTheKeyReturns() {
+        String first = ApiKeyHash.of("0");
+        for (int version = 0; version <= 30; version++) {
+            List<String> hashes = new ArrayList<>();
+            for (int key = 0; key < 1_000; key++) {
+                hashes.add(ApiKeyHash.of(version * 1_000 + key + ""));
+            }
+            routes.updateIfNewer(tableWithTeams(version, List.of(new Team("blue", Team.NO_IMPORTANCE, 0, 0, hashes))));
+        }
+        String late = ApiKeyHash.of("29000");
+        assertThat(routes.revocationOf(ApiKeyHash.idOf(first), "blue")).isNull();
+        assertThat(routes.revocationOf(ApiKeyHash.idOf(late), "blue")).isEqualTo(RefusalReason.UNAUTHENTICATED);
+        Team blue = new Team("blue", Team.NO_IMPORTANCE, 0, 0, List.of(late));
+        routes.updateIfNewer(tableWithTeams(31, List.of(blue)));
+        assertThat(routes.revocationOf(ApiKeyHash.idOf(late), "blue")).isNull();
+    }
+
     @Test
     void weightsHoldOverFewRequestsOnEveryHost() {
         RequestRoute split = route("split", "/", service("a", 90), service("b", 10));
--- a/node/src/main/java/org/anvillatch/node/call/CallRouter.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallRouter.java
@@ -176,7 +176,11 @@
             if (now >= call.deadlineMicros()) {
                 return RefusalReason.DEADLINE;
             }
-            return state.isQuarantined(call.fingerprint()) ? RefusalReason.QUARANTINED : null;
+            if (state.isQuarantined(call.fingerprint())) {
+                return RefusalReason.QUARANTINED;
+            }
+            return state.routes()
+                    .revocationOf(call.context().keyId(), call.context().team());
         }
 
         private void refuse(RefusalReason reason, int level) {
--- a/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
+++ b/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
@@ -251,6 +251,8 @@
             refuse(execution, RefusalReason.NO_ENDPOINT, 0);
         } else if (state.isQuarantined(message.fingerprint())) {
             refuse(execution, RefusalReason.QUARANTINED, 0);
+        } else if (revocationOf(execution) != null) {
+            refuse(execution, revocationOf(execution), 0);
         } else {
             Work work = new Work(
                     number,
@@ -292,6 +294,24 @@
         }
     }
 
+    /** Refuses the queued root requests whose API keys no longer belong to their teams. */
+    public void refuseRevoked() {
+        for (Execution execution : List.copyOf(executions.values())) {
+            RefusalReason reason = revocationOf(execution);
+            if (reason != null
+                    && !state.gatekeeper()
+                            .cancel(execution.number, loop.nowMicros())
+                            .isEmpty()) {
+                refuse(execution, reason, 0);
+            }
+        }
+    }
+
+    private RefusalReason revocationOf(Execution execution) {
+        CallContext context = execution.message.context();
+        return state.routes().revocationOf(context.keyId(), context.team());
+    }
+
     /**
      * Lets the gatekeeper update its shed level and refuse or start queued work. Repeated while work is queued or the
      * shed level is above 0.
--- a/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
+++ b/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
@@ -61,6 +61,7 @@
                 pack(packer, message.head().headers());
             }
             pack(packer, message.notice());
+            packer.packString(context.team()).packString(context.keyId());
             return packer.toByteArray();
         }
     }
@@ -70,13 +71,9 @@
             String root = unpacker.unpackString();
             int attempt = unpacker.unpackInt();
             String path = unpacker.unpackString();
-            CallContext context = new CallContext(
-                    root,
-                    attempt,
-                    path.isEmpty() ? root : path,
-                    unpacker.unpackInt(),
-                    unpacker.unpackBoolean(),
-                    unpacker.unpackString());
+            int rank = unpacker.unpackInt();
+            boolean atMostOnce = unpacker.unpackBoolean();
+            String traceparent = unpacker.unpackString();
             OperationName operation = new OperationName(unpacker.unpackString(), unpacker.unpackString());
             boolean idempotent = unpacker.unpackBoolean();
             CallBody body = unpackBody(unpacker);
@@ -87,16 +84,20 @@
             if (!unpacker.tryUnpackNil()) {
                 head = new RequestHead(unpacker.unpackString(), unpacker.unpackString(), unpackHeaders(unpacker));
             }
+            EndpointNotice notice = unpackNotice(unpacker);
+            // Earlier versions of a node send neither the team nor the id of the key.
+            boolean namesTeam = unpacker.hasNext();
+            CallContext context = new CallContext(
+                    root,
+                    attempt,
+                    path.isEmpty() ? root : path,
+                    rank,
+                    atMostOnce,
+                    traceparent,
+                    namesTeam ? unpacker.unpackString() : "",
+                    namesTeam ? unpacker.unpackString() : "");
             return new DispatchMessage(
-                    context,
-                    operation,
-                    idempotent,
-                    body,
-                    fingerprint,
-                    remainingMicros,
-                    retries,
-                    head,
-                    unpackNotice(unpacker));
+                    context, operation, idempotent, body, fingerprint, remainingMicros, retries, head, notice);
         }
     }
 
@@ -186,7 +187,7 @@
         }
     }
 
-    /** Unpacks the last component of a message, which earlier versions of a node do not send. */
+    /** Unpacks a component of a message that earlier versions of a node do not send. */
     private static EndpointNotice unpackNotice(MessageUnpacker unpacker) throws IOException {
         if (!unpacker.hasNext() || unpacker.tryUnpackNil()) {
             return null;
--- a/node/src/main/java/org/anvillatch/node/peer/FrameCodec.java
+++ b/node/src/main/java/org/anvillatch/node/peer/FrameCodec.java
@@ -9,8 +9,10 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.annotation.JsonDeserialize;
 import org.anvillatch.decision.configuration.ConfigurationChange;
 import org.anvillatch.node.call.CallAnswer;
+import org.anvillatch.node.call.CallContext;
 import org.anvillatch.node.call.DispatchMessage;
 import org.msgpack.jackson.dataformat.JsonArrayFormat;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
@@ -41,6 +43,11 @@
     })
     private interface ConfigurationChangeMixIn {}
 
+    private interface NamesTeamMixIn {
+        @JsonDeserialize(using = TeamNameDeserializer.class)
+        String team();
+    }
+
     private FrameCodec() {}
 
     /** Writes records as arrays in component order, which keeps the field names out of the frames. */
@@ -57,6 +64,7 @@
      */
     public static ObjectMapper configure(ObjectMapper mapper) {
         return mapper.addMixIn(ConfigurationChange.class, ConfigurationChangeMixIn.class)
+                .addMixIn(CallContext.class, NamesTeamMixIn.class)
                 .setSerializationInclusion(JsonInclude.Include.NON_NULL)
                 .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
     }
--- a/node/src/test/java/org/anvillatch/node/call/GatekeeperServiceTest.java
+++ b/node/src/test/java/org/anvillatch/node/call/GatekeeperServiceTest.java
@@ -1,7 +1,9 @@
 package org.anvillatch.node.call;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 
 import com.codahale.metrics.MetricRegistry;
 import org.anvillatch.decision.drain.EndpointPhase;
@@ -11,6 +13,10 @@
 import org.anvillatch.decision.model.HostIdentity;
 import org.anvillatch.decision.model.OperationName;
 import org.anvillatch.decision.model.RefusalReason;
+import org.anvillatch.decision.routing.RequestLimits;
+import org.anvillatch.decision.routing.RouteTable;
+import org.anvillatch.decision.team.ApiKeyHash;
+import org.anvillatch.decision.team.Team;
 import org.anvillatch.node.decisionlog.DecisionLog;
 import org.anvillatch.node.endpoint.EndpointAnnouncement;
 import org.anvillatch.node.endpoint.EndpointTransport;
@@ -77,8 +83,12 @@
     }
 
     private void dispatch(EndpointNotice knownToSender) {
+        dispatch(knownToSender, "", "");
+    }
+
+    private void dispatch(EndpointNotice knownToSender, String team, String keyId) {
         DispatchMessage message = new DispatchMessage(
-                new CallContext("r" + answers.size(), 0, "r" + answers.size(), 0, false, ""),
+                new CallContext("r" + answers.size(), 0, "r" + answers.size(), 0, false, "", team, keyId),
                 new OperationName("desk", "read"),
                 true,
                 CallBody.EMPTY,
@@ -190,6 +200,53 @@
         assertRefuses(RefusalReason.DRAINING);
     }
 
+    private void applyTeams(long version, Team... teams) {
+        state.routes()
+                .updateIfNewer(
+                        new RouteTable(version, List.of(), Map.of(), new RequestLimits(1, 1, 1), List.of(teams)));
+        service.refuseRevoked();
+    }
+
+    private static Team team(String name, String... keys) {
+        return new Team(name, 3, 0, 0, Arrays.stream(keys).map(ApiKeyHash::of).toList());
+    }
+
+    private static String idOf(String key) {
+        return ApiKeyHash.idOf(ApiKeyHash.of(key));
+    }
+
+    /** Guards against work that starts after its key was removed, and against the loss of work that has started. */
+    @Test
+    void revokedKeysRefuseOnlyWorkThatHasNotStarted() {
+        applyTeams(1, team("blue", "a", "b", "c"), team("red", "d"));
+        service.endpointAnnounced(new EndpointAnnouncement("desk", "10.0.0.1:80", 1, 1, "i@1"));
+        dispatch(null, "blue", idOf("a"));
+        dispatch(null, "blue", idOf("a"));
+        dispatch(null, "blue", idOf("b"));
+        dispatch(null, "blue", idOf("c"));
+        dispatch(null, "blue", "");
+        assertThat(transport.sent).hasSize(1);
+        applyTeams(2, team("blue", "c"), team("red", "d", "b"));
+        assertThat(answers.stream().map(CallAnswer::reason))
+                .containsExactly(RefusalReason.UNAUTHENTICATED, RefusalReason.TEAM_CHANGED);
+        assertThat(service.inFlight()).isEqualTo(3);
+    }
+
+    /** A sender may know an older configuration, or a newer one with keys that this host does not know yet. */
+    @Test
+    void lateDispatchWithARevokedKeyIsRefusedAndOneWithANewKeyIsNot() {
+        service.endpointAnnounced(FIRST);
+        applyTeams(1, team("blue", "a"));
+        applyTeams(2, team("blue", "b"));
+        dispatch(null, "blue", idOf("a"));
+        assertThat(answers.remove(0).reason()).isEqualTo(RefusalReason.UNAUTHENTICATED);
+        dispatch(null, "blue", idOf("new"));
+        assertThat(transport.sent).hasSize(1);
+        applyTeams(3, team("blue", "a", "b"));
+        dispatch(null, "blue", idOf("a"));
+        assertThat(transport.sent).hasSize(2);
+    }
+
     /** Load pattern: one endpoint of a service names a limit, and senders prefer endpoints whose slots are free. */
     @Test
     void advertisesOnlySlotsThatTheLimitCanFill() {
--- a/node/src/test/java/org/anvillatch/node/peer/FrameCodecTest.java
+++ b/node/src/test/java/org/anvillatch/node/peer/FrameCodecTest.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
+import java.util.HexFormat;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import net.jqwik.api.ForAll;
@@ -19,11 +21,18 @@
 import org.anvillatch.decision.model.EndpointNotice;
 import org.anvillatch.decision.model.HostIdentity;
 import org.anvillatch.decision.model.OperationName;
+import org.anvillatch.decision.routing.RequestLimits;
+import org.anvillatch.decision.routing.RequestRoute;
+import org.anvillatch.decision.routing.RouteTable;
+import org.anvillatch.decision.routing.WeightedService;
+import org.anvillatch.decision.team.ApiKeyHash;
+import org.anvillatch.decision.team.Team;
 import org.anvillatch.node.call.CallAnswer;
 import org.anvillatch.node.call.CallBody;
 import org.anvillatch.node.call.CallContext;
 import org.anvillatch.node.call.DispatchMessage;
 import org.anvillatch.node.call.HeaderField;
+import org.anvillatch.node.call.KeyedCallMessage;
 import org.anvillatch.node.call.RequestHead;
 import org.junit.jupiter.api.Test;
 
@@ -72,7 +81,7 @@
     @Test
     void dispatchRoundTrips() throws FrameException {
         DispatchMessage message = new DispatchMessage(
-                new CallContext("2-root", 1, "2-root", 300, true, ""),
+                new CallContext("2-root", 1, "2-root", 300, true, "", "blue", "0123456789abcdef"),
                 new OperationName("desk", "apply"),
                 false,
                 new CallBody("text/plain", new byte[] {1, 2, 3}),
@@ -108,6 +117,45 @@
         assertThat(CallCodec.decodeAnswer(withoutNotice).report()).isEqualTo(CallAnswer.LoadReport.NONE);
     }
 
+    private static PeerMessage decodeHex(String hex) throws FrameException {
+        return FrameCodec.decode(ByteBuffer.wrap(HexFormat.of().parseHex(hex)))
+                .get()
+                .message();
+    }
+
+    private static RouteTable tableWithTeam() {
+        RequestRoute route =
+                new RequestRoute("r", "h", "/x/", List.of(new WeightedService("s", 1)), true, 800, 500, 14, 2, true);
+        Team team = new Team("blue", 3, 12.5, 20, List.of(ApiKeyHash.of("key-1")));
+        return new RouteTable(7, List.of(route), Map.of("s", 3), new RequestLimits(1, 2, 3), List.of(team));
+    }
+
+    /** Guards against hosts that learn the routes from another host and then accept requests without keys. */
+    @Test
+    void routeTableRoundTripsWithItsTeams() throws FrameException {
+        PeerMessage message = new ControlMessages.RouteTableAnswer(tableWithTeam());
+        assertThat(encodeAndDecode(message)).isEqualTo(message);
+    }
+
+    /** The frames of an earlier version were recorded with its own codec. */
+    @Test
+    void framesOfAnEarlierVersionNameNoTeam() throws FrameException {
+        ControlMessages.RouteTableAnswer routes = (ControlMessages.RouteTableAnswer)
+                decodeHex("0000002fa417140000000000000000019194079199a172a168a32f782f9192a17301c3cd0320cd01f40e0281a173"
+                        + "0393010203");
+        assertThat(routes.table().teams()).isNull();
+        assertThat(routes.table().routes()).hasSize(1);
+        assertThat(routes.table().routes().get(0).isPublic()).isFalse();
+        CallContext context = new CallContext("r", 0, "r.1", 0, false, "");
+        KeyedCallMessage keyed = (KeyedCallMessage) decodeHex(
+                "0000002ca417080000000000000000019897a17200a3722e3100c2a0c392a173a16f93a0c30192a0c400a16ba1660502");
+        assertThat(keyed.context()).isEqualTo(context);
+        DispatchMessage dispatch = (DispatchMessage)
+                decodeHex("00000024a41705000000000000000001a17200a3722e3100c2a0a173a16fc3a0c400a1660502c0c0");
+        assertThat(dispatch.context()).isEqualTo(context);
+        assertThat(dispatch.retries()).isEqualTo(2);
+    }
+
     @Test
     void incompleteFrameIsNotConsumed() throws FrameException {
         ByteBuffer bytes = FrameCodec.encode(new Frame(1, false, new ControlMessages.StatusRequest()));
