Order requests by team before route, and count them by team

Cause: a team's priority had no effect, and operators could not see which team sent or lost requests.

LineSamplerTest passes the new component of Decision.

--- a/decision/src/main/java/org/anvillatch/decision/routing/ActiveRoutes.java
+++ b/decision/src/main/java/org/anvillatch/decision/routing/ActiveRoutes.java
@@ -1,10 +1,16 @@
 package org.anvillatch.decision.routing;
 
+import java.util.Collection;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 import org.anvillatch.decision.model.RefusalReason;
+import org.anvillatch.decision.team.ImportanceLevels;
 import org.anvillatch.decision.team.RevokedKeys;
+import org.anvillatch.decision.team.Team;
 import org.anvillatch.decision.team.TeamDirectory;
 
 /**
@@ -18,6 +24,7 @@
     private final WeightedRoundRobin split = new WeightedRoundRobin();
     private final RevokedKeys revokedKeys = new RevokedKeys();
     private TeamDirectory teams = TeamDirectory.EMPTY;
+    private ImportanceLevels levels = new ImportanceLevels(Set.of(), Set.of());
     private RouteTable table;
     private RouteIndex index;
 
@@ -36,10 +43,45 @@
         index = new RouteIndex(candidate);
         teams = candidate.teams() == null ? TeamDirectory.EMPTY : new TeamDirectory(candidate.teams());
         revokedKeys.update(teams);
+        levels = computeLevels(candidate);
         split.retain(candidate);
         return true;
     }
 
+    private static ImportanceLevels computeLevels(RouteTable table) {
+        Set<Integer> teamImportances = new HashSet<>();
+        if (table.teams() != null) {
+            table.teams().forEach(team -> teamImportances.add(team.importance()));
+        }
+        if (table.routes().stream().anyMatch(RequestRoute::isPublic)) {
+            teamImportances.add(Team.NO_IMPORTANCE);
+        }
+        return new ImportanceLevels(
+                teamImportances,
+                table.routes().stream().map(RequestRoute::importance).collect(Collectors.toSet()));
+    }
+
+    /**
+     * Returns the importance of a root request: ordered by the importance of its team, then by that of its route.
+     *
+     * @param team name of the request's team, empty if it has none
+     * @param route route of the request
+     * @return importance for {@link org.anvillatch.decision.model.Rank}
+     */
+    public int importanceOf(String team, RequestRoute route) {
+        int teamImportance = teams.findByName(team).map(Team::importance).orElse(Team.NO_IMPORTANCE);
+        return levels.of(teamImportance, route.importance());
+    }
+
+    /**
+     * Returns the importances that root requests can have.
+     *
+     * @return each importance at least once
+     */
+    public Collection<Integer> importancesInUse() {
+        return levels.inUse();
+    }
+
     private boolean replaces(RouteTable candidate) {
         if (candidate.teams() == null) {
             return candidate.version() > table.version() && teams.isEmpty();
--- a/decision/src/main/java/org/anvillatch/decision/routing/RequestRoute.java
+++ b/decision/src/main/java/org/anvillatch/decision/routing/RequestRoute.java
@@ -31,28 +31,4 @@
     public RequestRoute {
         services = List.copyOf(services);
     }
-
-    /** Creates a route whose requests need an API key if the configuration has teams. */
-    public RequestRoute(
-            String name,
-            String host,
-            String pathPrefix,
-            List<WeightedService> services,
-            boolean idempotent,
-            long timeoutMillis,
-            long targetLatencyMillis,
-            int importance,
-            int maxAttempts) {
-        this(
-                name,
-                host,
-                pathPrefix,
-                services,
-                idempotent,
-                timeoutMillis,
-                targetLatencyMillis,
-                importance,
-                maxAttempts,
-                false);
-    }
 }
--- a/decision/src/main/java/org/anvillatch/decision/team/TeamDirectory.java
+++ b/decision/src/main/java/org/anvillatch/decision/team/TeamDirectory.java
@@ -1,5 +1,7 @@
 package org.anvillatch.decision.team;
 
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -64,6 +66,15 @@
         return Optional.ofNullable(byName.get(name));
     }
 
+    /**
+     * Returns all teams.
+     *
+     * @return the teams in no particular order
+     */
+    public Collection<Team> all() {
+        return Collections.unmodifiableCollection(byName.values());
+    }
+
     /** Returns the name of the team to which a key belongs, or null if the key is unknown. */
     String ownerOf(String keyId) {
         KeyEntry entry = byKeyId.get(keyId);
--- a/decision/src/test/java/org/anvillatch/decision/routing/ActiveRoutesTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/routing/ActiveRoutesTest.java
@@ -19,7 +19,7 @@
     private final SplittableRandom random = new SplittableRandom(3);
 
     private static RequestRoute route(String name, String prefix, WeightedService... services) {
-        return new RequestRoute(name, "book.example", prefix, List.of(services), true, 800, 500, 14, 2);
+        return new RequestRoute(name, "book.example", prefix, List.of(services), true, 800, 500, 14, 2, false);
     }
 
     private static RouteTable table(long version, RequestRoute... routes) {
@@ -77,6 +77,18 @@
         assertThat(routes.teams().isEmpty()).isTrue();
     }
 
+    @Test
+    void importanceOfTheTeamGoesBeforeThatOfTheRoute() {
+        RequestRoute low = new RequestRoute("low", "h", "/", List.of(service("a", 1)), true, 1, 1, 2, 1, false);
+        RequestRoute high = new RequestRoute("high", "h", "/h/", List.of(service("a", 1)), true, 1, 1, 9, 1, false);
+        List<Team> teams = List.of(new Team("gold", 15, 0, 0, List.of()), new Team("iron", 3, 0, 0, List.of()));
+        routes.updateIfNewer(new RouteTable(1, List.of(low, high), Map.of(), new RequestLimits(1, 1, 1), teams));
+        assertThat(routes.importanceOf("iron", high)).isGreaterThan(routes.importanceOf("iron", low));
+        assertThat(routes.importanceOf("gold", low)).isGreaterThan(routes.importanceOf("iron", high));
+        assertThat(routes.importanceOf("gold", high)).isGreaterThan(routes.importanceOf("gold", low));
+        assertThat(routes.importancesInUse()).hasSize(4);
+    }
+
     /** Guards against memory that grows with each replaced key, and against a key that stays revoked when it returns. */
     @Test
     void revokedKeysAreBoundedAndEndWhenTheKeyReturns() {
--- a/node/src/main/java/org/anvillatch/node/call/CallDecisionRecorder.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallDecisionRecorder.java
@@ -55,6 +55,7 @@
                 details.result(),
                 details.reason(),
                 details.level(),
-                details.retriesLeft()));
+                details.retriesLeft(),
+                context.team()));
     }
 }
--- a/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
+++ b/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
@@ -296,6 +296,7 @@
 
     /** Refuses the queued root requests whose API keys no longer belong to their teams. */
     public void refuseRevoked() {
+        int refused = 0;
         for (Execution execution : List.copyOf(executions.values())) {
             RefusalReason reason = revocationOf(execution);
             if (reason != null
@@ -303,8 +304,12 @@
                             .cancel(execution.number, loop.nowMicros())
                             .isEmpty()) {
                 refuse(execution, reason, 0);
+                refused++;
             }
         }
+        if (refused > 0) {
+            LOG.info("queued requests of revoked keys refused={}", refused);
+        }
     }
 
     private RefusalReason revocationOf(Execution execution) {
--- a/node/src/main/java/org/anvillatch/node/decisionlog/Decision.java
+++ b/node/src/main/java/org/anvillatch/node/decisionlog/Decision.java
@@ -15,6 +15,7 @@
  * @param reason reason for the result, may be empty
  * @param level shed level that was applied
  * @param retriesLeft number of retries that the call has left
+ * @param team name of the team to which the request belongs, empty if it belongs to none
  */
 public record Decision(
         long atMillis,
@@ -28,7 +29,13 @@
         String result,
         String reason,
         int level,
-        int retriesLeft) {
+        int retriesLeft,
+        String team) {
+    /** Replaces what a host of an earlier version does not send. */
+    public Decision {
+        team = team == null ? "" : team;
+    }
+
     /** What was decided. */
     public enum Kind {
         /** Which host a call is sent to. */
--- a/node/src/main/java/org/anvillatch/node/decisionlog/DecisionLog.java
+++ b/node/src/main/java/org/anvillatch/node/decisionlog/DecisionLog.java
@@ -57,7 +57,8 @@
                         + decision.attempt() + " operation=" + decision.operation() + " importance="
                         + decision.importance() + " candidate=" + decision.candidate() + " result="
                         + decision.result() + " reason=" + decision.reason() + " level=" + decision.level()
-                        + " retriesLeft=" + decision.retriesLeft();
+                        + " retriesLeft=" + decision.retriesLeft()
+                        + (decision.team().isEmpty() ? "" : " team=" + decision.team());
             }
         },
         /** One JSON object for each line. */
--- a/node/src/main/java/org/anvillatch/node/peer/FrameCodec.java
+++ b/node/src/main/java/org/anvillatch/node/peer/FrameCodec.java
@@ -14,6 +14,7 @@
 import org.anvillatch.node.call.CallAnswer;
 import org.anvillatch.node.call.CallContext;
 import org.anvillatch.node.call.DispatchMessage;
+import org.anvillatch.node.decisionlog.Decision;
 import org.msgpack.jackson.dataformat.JsonArrayFormat;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
@@ -65,6 +66,7 @@
     public static ObjectMapper configure(ObjectMapper mapper) {
         return mapper.addMixIn(ConfigurationChange.class, ConfigurationChangeMixIn.class)
                 .addMixIn(CallContext.class, NamesTeamMixIn.class)
+                .addMixIn(Decision.class, NamesTeamMixIn.class)
                 .setSerializationInclusion(JsonInclude.Include.NON_NULL)
                 .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
     }
--- a/node/src/main/java/org/anvillatch/node/routes/RouteTableService.java
+++ b/node/src/main/java/org/anvillatch/node/routes/RouteTableService.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Set;
 
-import org.anvillatch.decision.routing.RequestRoute;
 import org.anvillatch.decision.routing.RouteTable;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
@@ -69,15 +68,14 @@
             return;
         }
         LOG.info(
-                "routes version={} before={} from={} routes={} inForceMicros={}",
+                "routes version={} before={} from={} routes={} teams={} inForceMicros={}",
                 table.version(),
                 previousVersion,
                 source,
                 table.routes().size(),
+                table.teams() == null ? "unknown" : table.teams().size(),
                 loop.nowMicros());
-        state.gatekeeper()
-                .setImportances(
-                        table.routes().stream().map(RequestRoute::importance).toList());
+        state.gatekeeper().setImportances(state.routes().importancesInUse());
         changeListeners.forEach(Runnable::run);
     }
 
--- a/node/src/main/java/org/anvillatch/node/team/TeamAdmission.java
+++ b/node/src/main/java/org/anvillatch/node/team/TeamAdmission.java
@@ -3,33 +3,35 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
+import com.codahale.metrics.MetricRegistry;
 import org.anvillatch.decision.model.Outcome;
 import org.anvillatch.decision.team.Team;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
 
 /**
- * Admits root requests against the allowances of their teams.
+ * Admits root requests against the allowances of their teams and counts them.
  *
  * <p>Invariant: each place that was acquired for a request that did not run is released once. Owned by the decision
  * loop: all methods are called on it.
  */
 public final class TeamAdmission {
-    /** Permit of a request that counts against no allowance, such as a nested call. */
+    /** Permit of a request that counts for no team, such as a nested call. */
     public static final Permit UNCOUNTED = new Permit(TeamAllowances.Verdict.GRANTED, () -> {});
 
     private final DecisionLoop loop;
     private final HostState state;
-    private final TeamAllowances allowances;
+    private final TeamMetrics metrics;
+    private TeamAllowances allowances = TeamAllowances.UNLIMITED;
 
-    /** Verdict on a request, and what to do with its place if it does not run. Owned by the decision loop. */
+    /** Verdict on a request, and what to do if it does not run. Owned by the decision loop. */
     public static final class Permit {
         private final TeamAllowances.Verdict verdict;
-        private final Runnable release;
+        private final Runnable onNotRun;
 
-        private Permit(TeamAllowances.Verdict verdict, Runnable release) {
+        private Permit(TeamAllowances.Verdict verdict, Runnable onNotRun) {
             this.verdict = verdict;
-            this.release = release;
+            this.onNotRun = onNotRun;
         }
 
         /**
@@ -48,22 +50,41 @@
          */
         public void recordOutcome(Outcome outcome) {
             if (!outcome.mayHaveRun()) {
-                release.run();
+                onNotRun.run();
             }
         }
     }
 
     /**
-     * Creates the admission.
+     * Creates the admission, which grants all requests.
      *
      * @param loop loop that runs decisions
      * @param state decision state of this host
-     * @param allowances allowances of the teams
+     * @param metrics registry for the counters of the teams
      */
-    public TeamAdmission(DecisionLoop loop, HostState state, TeamAllowances allowances) {
+    public TeamAdmission(DecisionLoop loop, HostState state, MetricRegistry metrics) {
         this.loop = loop;
         this.state = state;
-        this.allowances = allowances;
+        this.metrics = new TeamMetrics(metrics);
+    }
+
+    /**
+     * Sets the allowances; called before the first request.
+     *
+     * @param next allowances of the teams
+     */
+    public void setAllowances(TeamAllowances next) {
+        allowances = next;
+    }
+
+    /** Counts the requests of the current teams from now on. */
+    public void teamsChanged() {
+        metrics.update(state.routes().teams().all());
+    }
+
+    /** Counts a request without a valid key. */
+    public void recordUnauthenticated() {
+        metrics.recordUnauthenticated();
     }
 
     /**
@@ -73,13 +94,26 @@
      * @param reply receives the permit, on the loop
      */
     public void admit(String team, Consumer<Permit> reply) {
-        Optional<Team> limited =
-                team.isEmpty() ? Optional.empty() : state.routes().teams().findByName(team);
-        if (limited.isEmpty() || !limited.get().hasAllowance()) {
+        if (team.isEmpty()) {
             reply.accept(UNCOUNTED);
             return;
         }
-        allowances.acquire(
-                team, loop.nowMicros(), verdict -> reply.accept(new Permit(verdict, () -> allowances.release(team))));
+        metrics.recordRequest(team);
+        Optional<Team> known = state.routes().teams().findByName(team);
+        if (known.isEmpty() || !known.get().hasAllowance()) {
+            reply.accept(new Permit(TeamAllowances.Verdict.GRANTED, () -> metrics.recordRefusal(team)));
+        } else {
+            allowances.acquire(team, loop.nowMicros(), verdict -> reply.accept(counted(team, verdict)));
+        }
+    }
+
+    private Permit counted(String team, TeamAllowances.Verdict verdict) {
+        if (!verdict.isGranted()) {
+            metrics.recordRefusal(team);
+        }
+        return new Permit(verdict, () -> {
+            metrics.recordRefusal(team);
+            allowances.release(team);
+        });
     }
 }
--- a/node/src/test/java/org/anvillatch/node/decisionlog/LineSamplerTest.java
+++ b/node/src/test/java/org/anvillatch/node/decisionlog/LineSamplerTest.java
@@ -12,7 +12,7 @@
     private final LineSampler sampler = new LineSampler();
 
     private static Decision decision(long atMillis, String request, String result) {
-        return new Decision(atMillis, "node", Decision.Kind.ANSWER, request, 0, "s/o", 1, "host", result, "", 0, 0);
+        return new Decision(atMillis, "node", Decision.Kind.ANSWER, request, 0, "s/o", 1, "host", result, "", 0, 0, "");
     }
 
     private int countWritten(long startSecond, int lines, String result) {
--- a/node/src/test/java/org/anvillatch/node/peer/FrameCodecTest.java
+++ b/node/src/test/java/org/anvillatch/node/peer/FrameCodecTest.java
@@ -15,6 +15,7 @@
 import org.anvillatch.decision.configuration.ConfigurationChange;
 import org.anvillatch.decision.configuration.ConfigurationRecord;
 import org.anvillatch.decision.configuration.ConfigurationSnapshot;
+import org.anvillatch.decision.configuration.OperationPolicy;
 import org.anvillatch.decision.drain.EndpointPhase;
 import org.anvillatch.decision.membership.Member;
 import org.anvillatch.decision.membership.MemberStatus;
@@ -34,6 +35,7 @@
 import org.anvillatch.node.call.HeaderField;
 import org.anvillatch.node.call.KeyedCallMessage;
 import org.anvillatch.node.call.RequestHead;
+import org.anvillatch.node.decisionlog.Decision;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -137,6 +139,18 @@
         assertThat(encodeAndDecode(message)).isEqualTo(message);
     }
 
+    @Test
+    void contextAndDecisionRoundTripWithTheirTeam() throws FrameException {
+        CallContext context = new CallContext("r", 0, "r.1", 0, false, "", "blue", "id");
+        KeyedCallMessage keyed = new KeyedCallMessage(
+                context, new OperationName("s", "o"), new OperationPolicy("", true, 1), CallBody.EMPTY, "k", "f", 5, 2);
+        assertThat(((KeyedCallMessage) encodeAndDecode(keyed)).context()).isEqualTo(context);
+        Decision decision =
+                new Decision(1, "n", Decision.Kind.ROUTE, "r", 0, "s/o", 3, "c", "chosen", "", 4, 5, "blue");
+        PeerMessage decisions = new ControlMessages.DecisionsAnswer(List.of(decision));
+        assertThat(encodeAndDecode(decisions)).isEqualTo(decisions);
+    }
+
     /** The frames of an earlier version were recorded with its own codec. */
     @Test
     void framesOfAnEarlierVersionNameNoTeam() throws FrameException {
@@ -154,6 +168,10 @@
                 decodeHex("00000024a41705000000000000000001a17200a3722e3100c2a0a173a16fc3a0c400a1660502c0c0");
         assertThat(dispatch.context()).isEqualTo(context);
         assertThat(dispatch.retries()).isEqualTo(2);
+        ControlMessages.DecisionsAnswer decisions = (ControlMessages.DecisionsAnswer)
+                decodeHex("00000028a4170e00000000000000000191919d01a16e00a17200a3732f6f03a163a663686f73656ea00405c3");
+        assertThat(decisions.decisions().get(0).team()).isEmpty();
+        assertThat(decisions.decisions().get(0).retriesLeft()).isEqualTo(5);
     }
 
     @Test
