--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -117,7 +117,8 @@
         callHandler = new CallHandler(loop, state, router, idempotencyService, gatekeeperService, decisions, metrics);
         endpointHandler = new EndpointHandler(loop, state, gatekeeperService);
         CommandHandler.AccessKeys keys = new CommandHandler.AccessKeys(settings.readKey(), settings.changeKey());
-        CommandHandler commands = new CommandHandler(loop, state, changes, questions, keys, metrics);
+        Readiness readiness = new Readiness(loop, scheduler, () -> "serving".equals(processState));
+        CommandHandler commands = new CommandHandler(loop, state, changes, questions, keys, metrics, readiness);
         PeerRequestHandler commonHandler = new PeerRequestHandler(
                 loop, state, gatekeeperService, membershipService, new RouteTableService(loop, state, peers));
         NodePeerHandler peerHandler = new NodePeerHandler(
@@ -161,6 +162,7 @@
     }
 
     private void registerMetrics() {
+        metrics.register("tasks.failed", (Gauge<Long>) loop.errors()::failures);
         metrics.register("calls.in_flight", (Gauge<Integer>) router::inFlight);
         metrics.register("gatekeeper.in_flight", (Gauge<Integer>) gatekeeperService::inFlight);
         metrics.register("gatekeeper.level", (Gauge<Integer>)
@@ -191,7 +193,7 @@
         }
         configurationService.addChangeListener(this::configurationChanged);
         gatekeeperService.setCrashListener(membershipService::broadcastSuspicions);
-        gatekeeperService.setEndpointListener(membershipService::announceSelf);
+        gatekeeperService.endpointState().setListener(membershipService::announceSelf);
         lastTickMicros = loop.nowMicros();
         loop.scheduleRepeatedly(TICK_PERIOD_MICROS, this::tick);
         loop.scheduleRepeatedly(MembershipService.TICK_PERIOD_MICROS, membershipService::tick);
@@ -219,7 +221,7 @@
 
     private void configurationChanged() {
         state.suspects().release(state.configuration().current().released());
-        gatekeeperService.applyDrain();
+        gatekeeperService.endpointState().applyDrain();
     }
 
     private HostStatus status() {
@@ -247,7 +249,7 @@
         LOG.info("leaving: new work is refused, {} calls are in flight", router.inFlight());
         callHandler.refuseRootRequests();
         loop.execute(() -> {
-            gatekeeperService.stopAdmission();
+            gatekeeperService.endpointState().stopAdmission();
             membershipService.leave();
         });
         Thread.sleep(Math.min(LEAVE_SETTLE_MILLIS, settings.stopMillis()));
