--- a/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
+++ b/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
@@ -246,8 +246,12 @@
         }
     }
 
-    /** Refuses the queued root requests whose API keys no longer belong to their teams. */
-    public void refuseRevoked() {
+    /**
+     * Refuses the queued root requests whose API keys no longer belong to their teams.
+     *
+     * @return number of refused requests
+     */
+    public int refuseRevoked() {
         int refused = 0;
         for (Execution execution : List.copyOf(executions.values())) {
             RefusalReason reason = revocationOf(execution);
@@ -259,9 +263,7 @@
                 refused++;
             }
         }
-        if (refused > 0) {
-            LOG.info("queued requests of revoked keys refused={}", refused);
-        }
+        return refused;
     }
 
     private RefusalReason revocationOf(Execution execution) {
