--- a/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
+++ b/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
@@ -246,8 +246,13 @@
         }
     }
 
-    /** Refuses the queued root requests whose API keys no longer belong to their teams. */
-    public void refuseRevoked() {
+    /**
+     * Refuses the queued root requests whose API keys no longer belong to their teams.
+     *
+     * @return number of refused requests
+     */
+    public int refuseRevoked() {
+        int refused = 0;
         for (Execution execution : List.copyOf(executions.values())) {
             RefusalReason reason = revocationOf(execution);
             if (reason != null
@@ -255,8 +260,10 @@
                             .cancel(execution.number, loop.nowMicros())
                             .isEmpty()) {
                 refuse(execution, reason, 0);
+                refused++;
             }
         }
+        return refused;
     }
 
     private RefusalReason revocationOf(Execution execution) {
