--- a/node/src/main/java/org/anvillatch/node/peer/PeerClient.java
+++ b/node/src/main/java/org/anvillatch/node/peer/PeerClient.java
@@ -228,13 +228,15 @@
     private void onOpened(Link link, PeerConnection connection) {
         link.lastReceivedMicros = loop.nowMicros();
         link.connection = connection;
-        link.unsent.forEach((correlation, message) -> {
+        // A request that cannot be encoded removes itself from the map while it is written.
+        Map<Long, PeerMessage> unsent = new LinkedHashMap<>(link.unsent);
+        link.unsent.clear();
+        unsent.forEach((correlation, message) -> {
             PendingRequest pending = link.pending.get(correlation);
             if (pending != null) {
                 write(pending, message);
             }
         });
-        link.unsent.clear();
     }
 
     /** Schedules the next check of the connections; checks are repeated while any request waits for its answer. */
