Account for the memory of requests, answers and frames, and send large bodies in parts

Cause: nothing bounded the bytes of all requests that a node held; a body existed two or three times on a host (Jetty's buffers, array, frame); bodies from 16 MiB were refused with 413; more than 32 MiB of answers became 502; a HEAD response had the length 0. Bodies are lists of segments that are read, forwarded and written without a further copy. A body beyond 64 KiB travels between hosts in parts of 32 KiB with a window of 256 KiB, so small frames pass it. What does not fit is refused as not run, stalled bodies give way to others, and answers wait. max_body_bytes of the configuration is the limit.

--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -34,6 +34,7 @@
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
 import org.anvillatch.node.membership.MembershipService;
+import org.anvillatch.node.memory.MemoryBudget;
 import org.anvillatch.node.operator.ChangeCommand;
 import org.anvillatch.node.operator.CommandHandler;
 import org.anvillatch.node.operator.HostStatus;
@@ -71,6 +72,7 @@
     private final Deque<Service> started = new ArrayDeque<>();
     private final List<Service> services;
     private final DecisionLoop loop = new DecisionLoop();
+    private final MemoryBudget budget;
     private final HostState state;
     private final GatekeeperService gatekeeperService;
     private final CallRouter router;
@@ -91,11 +93,13 @@
         NodeThreads nodeThreads = new NodeThreads();
         QueuedThreadPool threads = nodeThreads.pool();
         ScheduledExecutorScheduler scheduler = nodeThreads.scheduler();
+        budget = MemoryBudget.ofMaxHeap();
+        budget.register(metrics);
         state = createHostState(settings);
         DecisionLog log = new DecisionLog(settings.logFormat(), metrics);
         CallDecisionRecorder decisions = new CallDecisionRecorder(log, settings.name());
         PeerClient peers =
-                new PeerClient(loop, threads, scheduler, settings.peerAddress().host(), metrics);
+                new PeerClient(loop, threads, scheduler, settings.peerAddress().host(), budget, metrics);
         EndpointClient endpointClient = new EndpointClient(threads, scheduler);
         HttpPlatformLog platform = new HttpPlatformLog(settings.logAddress(), threads, scheduler);
         gatekeeperService =
@@ -117,7 +121,8 @@
         callHandler = new CallHandler(loop, state, router, idempotencyService, gatekeeperService, decisions, metrics);
         endpointHandler = new EndpointHandler(loop, state, gatekeeperService);
         CommandHandler.AccessKeys keys = new CommandHandler.AccessKeys(settings.readKey(), settings.changeKey());
-        Readiness readiness = new Readiness(loop, scheduler, () -> "serving".equals(processState));
+        Readiness readiness =
+                new Readiness(loop, scheduler, () -> "serving".equals(processState) && budget.hasRoomForRequests());
         CommandHandler commands = new CommandHandler(loop, state, changes, questions, keys, metrics, readiness);
         PeerRequestHandler commonHandler = new PeerRequestHandler(
                 loop, state, gatekeeperService, membershipService, new RouteTableService(loop, state, peers));
@@ -130,7 +135,7 @@
                 threads,
                 scheduler,
                 new NodeServer.Handlers(callHandler, new KeyHandler(loop, state), endpointHandler, commands),
-                new PeerServer(threads, peerHandler, metrics));
+                new PeerServer(threads, peerHandler, budget, metrics));
         services = List.of(loop, log, nodeThreads, peers, endpointClient, platform, server);
         registerMetrics();
     }
@@ -186,6 +191,10 @@
 
     @Override
     public void start() throws StartException {
+        String problem = budget.findProblem();
+        if (problem != null) {
+            throw new StartException(problem, null);
+        }
         for (Service service : services) {
             // Added before the start, so that a service that fails while starting is stopped as well.
             started.push(service);
--- a/node/src/main/java/org/anvillatch/node/call/CallAnswer.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallAnswer.java
@@ -152,6 +152,27 @@
                 outcome, reason, status, body, retries, report, firstOutcome, host, detail, suspicions, headers);
     }
 
+    /**
+     * Returns a copy of this answer with another body.
+     *
+     * @param newBody the body
+     * @return the copy
+     */
+    public CallAnswer withBody(CallBody newBody) {
+        return new CallAnswer(
+                outcome,
+                reason,
+                status,
+                newBody,
+                unspentRetries,
+                report,
+                firstOutcome,
+                host,
+                detail,
+                suspicions,
+                headers);
+    }
+
     /**
      * Returns a copy of this answer with another load report.
      *
--- a/node/src/main/java/org/anvillatch/node/call/CallRouter.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallRouter.java
@@ -297,17 +297,28 @@
 
         private void retryOrComplete(Member host, CallAnswer answer) {
             if (answer.outcome().mayHaveRun()) {
+                if (possiblyExecuted != null) {
+                    possiblyExecuted.body().release();
+                }
                 possiblyExecuted = answer;
             }
             if (mayRetry(answer) && !exceedsOverloadReroutes(answer) && (tryFreeReroute(answer) || tryUseRetry())) {
                 lastRefusal = answer.reason();
                 triedHosts.add(host.host().name());
+                releaseUnlessKept(answer);
                 dispatchToNextHost();
                 return;
             }
             complete(answer.withUnspentRetries(budget.remaining()));
         }
 
+        /** Releases the body of an answer that is not delivered, unless it may still be. */
+        private void releaseUnlessKept(CallAnswer answer) {
+            if (possiblyExecuted == null || possiblyExecuted.body() != answer.body()) {
+                answer.body().release();
+            }
+        }
+
         /**
          * Counts an overload refusal of a root request and returns whether the limit of reroutes is exceeded. Nested
          * calls have no such limit, since refusing one wastes the work of its parent calls.
@@ -344,7 +355,9 @@
         private boolean mayRetry(CallAnswer answer) {
             boolean otherHostAllowed =
                     answer.reason() == null || answer.reason().permitsAnotherEndpoint();
+            // The body of a call is released when a large answer to it has begun.
             return !cancelled
+                    && !(call.body().isLarge() && call.body().isReleased())
                     && otherHostAllowed
                     && answer.suspicions().isEmpty()
                     && permitsRetry(answer)
@@ -368,6 +381,9 @@
             CallAnswer answer = lastAnswer.outcome() == Outcome.NOT_RUN && possiblyExecuted != null
                     ? possiblyExecuted.withUnspentRetries(lastAnswer.unspentRetries())
                     : lastAnswer;
+            if (possiblyExecuted != null && possiblyExecuted.body() != answer.body()) {
+                possiblyExecuted.body().release();
+            }
             if (completed) {
                 throw new IllegalStateException("call " + call.context().path() + " was already answered");
             }
--- a/node/src/main/java/org/anvillatch/node/call/DispatchMessage.java
+++ b/node/src/main/java/org/anvillatch/node/call/DispatchMessage.java
@@ -28,4 +28,15 @@
         int retries,
         RequestHead head,
         EndpointNotice notice)
-        implements PeerMessage {}
+        implements PeerMessage {
+    /**
+     * Returns a copy of this message with another body.
+     *
+     * @param newBody the body
+     * @return the copy
+     */
+    public DispatchMessage withBody(CallBody newBody) {
+        return new DispatchMessage(
+                context, operation, idempotent, newBody, fingerprint, remainingMicros, retries, head, notice);
+    }
+}
--- a/node/src/main/java/org/anvillatch/node/call/Fingerprint.java
+++ b/node/src/main/java/org/anvillatch/node/call/Fingerprint.java
@@ -1,5 +1,6 @@
 package org.anvillatch.node.call;
 
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.HexFormat;
 
@@ -19,10 +20,16 @@
      * @param content body of the request
      * @return the hash, 24 hexadecimal digits
      */
-    public static String of(String name, byte[] content) {
+    public static String of(String name, CallBody content) {
         int seed = MurmurHash3.hash32x86(name.getBytes(StandardCharsets.UTF_8));
-        long[] hash = MurmurHash3.hash128x64(content, 0, content.length, seed);
+        int segmentSeed = seed;
+        long hash = 0;
+        for (ByteBuffer segment : content.segments()) {
+            hash = MurmurHash3.hash128x64(
+                    segment.array(), segment.arrayOffset() + segment.position(), segment.remaining(), segmentSeed)[0];
+            segmentSeed = Long.hashCode(hash);
+        }
         HexFormat hex = HexFormat.of();
-        return hex.toHexDigits(seed) + hex.toHexDigits(hash[0]);
+        return hex.toHexDigits(seed) + hex.toHexDigits(hash);
     }
 }
--- a/node/src/main/java/org/anvillatch/node/caller/CallHandler.java
+++ b/node/src/main/java/org/anvillatch/node/caller/CallHandler.java
@@ -229,7 +229,7 @@
         long timeoutMillis = number(exchange.request(), CallHeaders.TIMEOUT, maxMillis, 1, Integer.MAX_VALUE);
         long deadline = loop.nowMicros() + Math.min(maxMicros, timeoutMillis * MICROS_PER_MILLI);
         String key = idempotencyKey(exchange.request(), policy, context);
-        String fingerprint = Fingerprint.of(exchange.operation().toString(), body.content());
+        String fingerprint = Fingerprint.of(exchange.operation().toString(), body);
         Call call = new Call(context, exchange.operation(), policy, body, key, fingerprint, deadline, retries, 0, null);
         long startedNanos = System.nanoTime();
         if (!key.isEmpty()) {
--- a/node/src/main/java/org/anvillatch/node/caller/HttpResponses.java
+++ b/node/src/main/java/org/anvillatch/node/caller/HttpResponses.java
@@ -153,8 +153,8 @@
         if (!answer.body().contentType().isEmpty()) {
             response.getHeaders().put(HttpHeader.CONTENT_TYPE, answer.body().contentType());
         }
-        response.getHeaders().put(HttpHeader.CONTENT_LENGTH, answer.body().content().length);
-        response.write(true, ByteBuffer.wrap(answer.body().content()), callback);
+        response.getHeaders().put(HttpHeader.CONTENT_LENGTH, answer.body().length());
+        BodyWriter.write(response, answer.body(), callback);
     }
 
     private static int statusOf(CallAnswer answer) {
--- a/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
+++ b/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
@@ -1,6 +1,7 @@
 package org.anvillatch.node.peer;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -79,7 +80,7 @@
                     unpacker.unpackString());
             OperationName operation = new OperationName(unpacker.unpackString(), unpacker.unpackString());
             boolean idempotent = unpacker.unpackBoolean();
-            CallBody body = unpackBody(unpacker);
+            CallBody body = unpackBody(unpacker, bytes.length);
             String fingerprint = unpacker.unpackString();
             long remainingMicros = unpacker.unpackLong();
             int retries = unpacker.unpackInt();
@@ -129,7 +130,7 @@
             Outcome outcome = unpackEnum(unpacker, Outcome.values());
             RefusalReason reason = unpackEnum(unpacker, RefusalReason.values());
             int status = unpacker.unpackInt();
-            CallBody body = unpackBody(unpacker);
+            CallBody body = unpackBody(unpacker, bytes.length);
             int unspentRetries = unpacker.unpackInt();
             int level = unpacker.unpackInt();
             int inFlight = unpacker.unpackInt();
@@ -163,15 +164,18 @@
     }
 
     private static void pack(MessageBufferPacker packer, CallBody body) throws IOException {
-        packer.packString(body.contentType()).packBinaryHeader(body.content().length);
-        packer.writePayload(body.content());
+        packer.packString(body.contentType()).packBinaryHeader(body.length());
+        for (ByteBuffer segment : body.segments()) {
+            packer.writePayload(segment.array(), segment.arrayOffset() + segment.position(), segment.remaining());
+        }
     }
 
-    private static CallBody unpackBody(MessageUnpacker unpacker) throws IOException {
+    private static CallBody unpackBody(MessageUnpacker unpacker, int messageLength) throws IOException {
         String contentType = unpacker.unpackString();
         int length = unpacker.unpackBinaryHeader();
-        if (length > FrameCodec.MAX_FRAME_BYTES) {
-            throw new IOException("body of " + length + " bytes exceeds the maximum frame size");
+        // Checked before the body is allocated: the length may be any number.
+        if (length > messageLength) {
+            throw new IOException("body of " + length + " bytes in a message of " + messageLength + " bytes");
         }
         return new CallBody(contentType, unpacker.readPayload(length));
     }
--- a/node/src/main/java/org/anvillatch/node/peer/FrameCodec.java
+++ b/node/src/main/java/org/anvillatch/node/peer/FrameCodec.java
@@ -22,8 +22,8 @@
  * sequence of values. Numbers are big-endian. New components may only be appended to a message. Thread safe.
  */
 public final class FrameCodec {
-    /** Maximum frame size in bytes, without the length field. */
-    public static final int MAX_FRAME_BYTES = 17 * 1024 * 1024;
+    /** Maximum frame size in bytes, without the length field; larger bodies are sent in parts. */
+    public static final int MAX_FRAME_BYTES = 8 * 1024 * 1024;
 
     private static final short MAGIC = (short) 0xA417;
     private static final int LENGTH_BYTES = 4;
@@ -75,16 +75,26 @@
             throw new FrameException("frame of " + length + " bytes exceeds " + MAX_FRAME_BYTES, null);
         }
         ByteBuffer buffer = ByteBuffer.allocate(LENGTH_BYTES + length);
-        buffer.putInt(length);
-        buffer.putShort(MAGIC);
-        buffer.put((byte) MessageKind.of(frame.message()).code());
+        putHeader(buffer, MessageKind.of(frame.message()), body.length);
         buffer.put(frame.answer() ? ANSWER_FLAG : 0);
         buffer.putLong(frame.correlation());
         buffer.put(body);
         return buffer.flip();
     }
 
-    private static byte[] encodeBody(PeerMessage message) throws FrameException {
+    /** Encodes all of a frame of {@link TransferMessages.Data} but its bytes, so that these are not copied. */
+    static ByteBuffer encodeDataHeader(long correlation, boolean answer, int length) {
+        return putHeader(ByteBuffer.allocate(LENGTH_BYTES + HEADER_BYTES), MessageKind.TRANSFER_DATA, length)
+                .put(answer ? ANSWER_FLAG : 0)
+                .putLong(correlation)
+                .flip();
+    }
+
+    private static ByteBuffer putHeader(ByteBuffer buffer, MessageKind kind, int bodyLength) {
+        return buffer.putInt(HEADER_BYTES + bodyLength).putShort(MAGIC).put((byte) kind.code());
+    }
+
+    static byte[] encodeBody(PeerMessage message) throws FrameException {
         try {
             if (message instanceof DispatchMessage dispatch) {
                 return CallCodec.encode(dispatch);
@@ -92,6 +102,9 @@
             if (message instanceof CallAnswer answer) {
                 return CallCodec.encode(answer);
             }
+            if (message instanceof TransferMessages.Data data) {
+                return data.bytes();
+            }
             return MAPPER.writeValueAsBytes(message);
         } catch (IOException cause) {
             throw new FrameException("cannot encode " + message.getClass().getSimpleName(), cause);
@@ -138,7 +151,7 @@
         return new Frame(correlation, answer, decodeBody(kind, body));
     }
 
-    private static PeerMessage decodeBody(MessageKind kind, byte[] body) throws FrameException {
+    static PeerMessage decodeBody(MessageKind kind, byte[] body) throws FrameException {
         try {
             if (kind == MessageKind.DISPATCH) {
                 return CallCodec.decodeDispatch(body);
@@ -146,6 +159,9 @@
             if (kind == MessageKind.CALL_ANSWER) {
                 return CallCodec.decodeAnswer(body);
             }
+            if (kind == MessageKind.TRANSFER_DATA) {
+                return new TransferMessages.Data(body);
+            }
             PeerMessage message = MAPPER.readValue(body, kind.type());
             if (message == null) {
                 throw new FrameException("message of kind " + kind + " is empty", null);
--- a/node/src/main/java/org/anvillatch/node/peer/MessageKind.java
+++ b/node/src/main/java/org/anvillatch/node/peer/MessageKind.java
@@ -53,7 +53,15 @@
     /** Answers with the route table. */
     ROUTE_TABLE_ANSWER(20, ControlMessages.RouteTableAnswer.class),
     /** Checks whether a connection still carries frames. */
-    CONNECTION_CHECK(21, ControlMessages.ConnectionCheck.class);
+    CONNECTION_CHECK(21, ControlMessages.ConnectionCheck.class),
+    /** Begins the transfer of a message with a large body. */
+    TRANSFER_START(22, TransferMessages.Start.class),
+    /** Permits the sender of a transfer to send further bytes. */
+    TRANSFER_GRANT(23, TransferMessages.Grant.class),
+    /** Carries bytes of a large body. */
+    TRANSFER_DATA(24, TransferMessages.Data.class),
+    /** Ends a transfer before its last byte. */
+    TRANSFER_END(25, TransferMessages.End.class);
 
     private static final MessageKind[] BY_CODE = new MessageKind[values().length + 1];
     private static final Map<Class<?>, MessageKind> BY_TYPE = new HashMap<>();
--- a/node/src/main/java/org/anvillatch/node/peer/PeerClient.java
+++ b/node/src/main/java/org/anvillatch/node/peer/PeerClient.java
@@ -14,7 +14,10 @@
 import org.anvillatch.node.KeepAliveConnector;
 import org.anvillatch.node.Service;
 import org.anvillatch.node.StartException;
+import org.anvillatch.node.call.CallAnswer;
+import org.anvillatch.node.call.CallBody;
 import org.anvillatch.node.loop.DecisionLoop;
+import org.anvillatch.node.memory.MemoryBudget;
 import org.eclipse.jetty.util.thread.Scheduler;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -23,7 +26,7 @@
  * Sends requests to other hosts, over one cached connection to each address.
  *
  * <p>Invariants: the listener of each request is called exactly once; it receives {@link PeerFailure#NOT_SENT} only if
- * no byte of the request was written to a socket. Not thread safe: all methods are called on the decision loop.
+ * the last byte of the request was not written to a socket. Not thread safe: all methods are called on the decision loop.
  */
 public final class PeerClient implements Service {
     private static final Logger LOG = LoggerFactory.getLogger(PeerClient.class);
@@ -71,10 +74,12 @@
         private final Link link;
         private final long correlation;
         private final AnswerListener listener;
+        private final CallBody body;
         private boolean sent;
         private Future<?> timeout;
 
-        private PendingRequest(Link link, long correlation, AnswerListener listener) {
+        private PendingRequest(Link link, long correlation, PeerMessage message, AnswerListener listener) {
+            this.body = PeerTransfers.largeBodyOf(message);
             this.link = link;
             this.correlation = correlation;
             this.listener = listener;
@@ -99,6 +104,7 @@
     private final DecisionLoop loop;
     private final KeepAliveConnector connector = new KeepAliveConnector();
     private final Map<String, Link> links = new HashMap<>();
+    private final MemoryBudget budget;
     private final Counter bytesSent;
     private long nextCorrelation = 1;
     private boolean checkScheduled;
@@ -110,10 +116,17 @@
      * @param executor runs the reads
      * @param scheduler runs the timeouts
      * @param sourceHost IP address of the peer address, from which connections are opened
+     * @param budget account of the frames
      * @param metrics registry for the counter of sent bytes
      */
     public PeerClient(
-            DecisionLoop loop, Executor executor, Scheduler scheduler, String sourceHost, MetricRegistry metrics) {
+            DecisionLoop loop,
+            Executor executor,
+            Scheduler scheduler,
+            String sourceHost,
+            MemoryBudget budget,
+            MetricRegistry metrics) {
+        this.budget = budget;
         this.bytesSent = metrics.counter("peer.bytes_sent");
         this.loop = loop;
         connector.setExecutor(executor);
@@ -153,7 +166,7 @@
      */
     public PendingRequest send(String address, PeerMessage message, long timeoutMicros, AnswerListener listener) {
         Link link = links.computeIfAbsent(address, this::connect);
-        PendingRequest pending = new PendingRequest(link, nextCorrelation++, listener);
+        PendingRequest pending = new PendingRequest(link, nextCorrelation++, message, listener);
         link.pending.put(pending.correlation, pending);
         scheduleCheck();
         if (link.connection == null) {
@@ -175,6 +188,10 @@
         if (!pending.sent || !pending.link.pending.containsKey(pending.correlation)) {
             return;
         }
+        if (pending.link.connection.cancelTransfer(pending.correlation)) {
+            fail(pending, PeerFailure.NOT_SENT);
+            return;
+        }
         try {
             Frame frame = new Frame(nextCorrelation++, false, new ControlMessages.Cancel(pending.correlation));
             pending.link.connection.send(frame);
@@ -209,7 +226,9 @@
         pending.link.unsent.remove(pending.correlation);
         if (pending.link.pending.remove(pending.correlation) != null) {
             cancelTimeout(pending);
-            pending.listener.failed(failure);
+            // A request whose last byte was not sent is never delivered at the other host.
+            boolean partlySent = pending.sent && pending.link.connection.cancelTransfer(pending.correlation);
+            pending.listener.failed(partlySent ? PeerFailure.NOT_SENT : failure);
         }
     }
 
@@ -217,7 +236,7 @@
         Link link = new Link(address);
         connector.connect(
                 address,
-                endPoint -> new PeerConnection(endPoint, connector.getExecutor(), new LinkListener(link)),
+                endPoint -> new PeerConnection(endPoint, connector.getExecutor(), budget, new LinkListener(link)),
                 failure -> {
                     LOG.debug("connect to {} failed", address, failure);
                     loop.execute(() -> dropLink(link));
@@ -307,6 +326,19 @@
                 if (pending != null) {
                     cancelTimeout(pending);
                     pending.listener.answered(frame.message());
+                } else if (frame.message() instanceof CallAnswer unexpected) {
+                    unexpected.body().release();
+                }
+            });
+        }
+
+        @Override
+        public void answerStarted(PeerConnection connection, long correlation) {
+            loop.execute(() -> {
+                PendingRequest pending = link.pending.get(correlation);
+                if (pending != null && pending.body != null) {
+                    // The request is not retried any more, and its body may occupy the memory that the answer needs.
+                    pending.body.release();
                 }
             });
         }
--- a/node/src/main/java/org/anvillatch/node/peer/PeerConnection.java
+++ b/node/src/main/java/org/anvillatch/node/peer/PeerConnection.java
@@ -3,12 +3,17 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeoutException;
 
 import org.anvillatch.node.NonBlockingReadCallback;
+import org.anvillatch.node.call.CallBody;
+import org.anvillatch.node.memory.MemoryBudget;
+import org.anvillatch.node.memory.Reservation;
 import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Callback;
@@ -27,6 +32,12 @@
     private static final Logger LOG = LoggerFactory.getLogger(PeerConnection.class);
     private static final int INITIAL_BUFFER_BYTES = 16 * 1024;
 
+    /** Maximum bytes of frames that wait to be written; twice the largest frame. */
+    private static final int MAX_QUEUED_BYTES = 2 * FrameCodec.MAX_FRAME_BYTES;
+
+    /** Maximum bytes of several frames in one write, for which the JDK needs a direct buffer of the same size. */
+    private static final int MAX_WRITE_BYTES = 256 * 1024;
+
     /** Receives the events of a connection. */
     public interface Listener {
         /**
@@ -44,6 +55,22 @@
          */
         void received(PeerConnection connection, Frame frame);
 
+        /**
+         * Called when a request with a large body was refused for lack of memory.
+         *
+         * @param connection the connection
+         * @param frame the request, without its body
+         */
+        default void refused(PeerConnection connection, Frame frame) {}
+
+        /**
+         * Called when the other host has begun to send a large answer.
+         *
+         * @param connection the connection
+         * @param correlation number of the request
+         */
+        default void answerStarted(PeerConnection connection, long correlation) {}
+
         /**
          * Called when the other host sent bytes that are not a frame; the connection then closes.
          *
@@ -62,6 +89,12 @@
 
     private final Listener listener;
     private final Writer writer = new Writer();
+    private final MemoryBudget budget;
+    private final PeerTransfers transfers;
+
+    /** Memory of the input buffer beyond its initial size. */
+    private final Reservation inputReservation;
+
     private final Callback readCallback = new NonBlockingReadCallback(this::onFillable, this::onFillInterestedFailed);
     private ByteBuffer input = ByteBuffer.allocate(INITIAL_BUFFER_BYTES);
 
@@ -70,11 +103,15 @@
      *
      * @param endPoint the socket
      * @param executor runs the reads
+     * @param budget account of the frames
      * @param listener receives the events
      */
-    public PeerConnection(EndPoint endPoint, Executor executor, Listener listener) {
+    public PeerConnection(EndPoint endPoint, Executor executor, MemoryBudget budget, Listener listener) {
         super(endPoint, executor);
         this.listener = listener;
+        this.budget = budget;
+        this.transfers = new PeerTransfers(budget, new TransferCarrier());
+        this.inputReservation = new Reservation(budget, 0);
     }
 
     @Override
@@ -95,6 +132,10 @@
         } catch (FrameException cause) {
             listener.malformed(this, cause);
             close();
+        } catch (RuntimeException | Error failure) {
+            // Without a further read the connection would never be read again.
+            close();
+            throw failure;
         } catch (IOException failure) {
             LOG.debug("read from {} failed", getEndPoint().getRemoteSocketAddress(), failure);
             close();
@@ -118,7 +159,15 @@
         }
     }
 
-    private void growInput() {
+    private void growInput() throws IOException {
+        // The first buffer is not accounted for: there are fewer connections of hosts than such buffers in the margin.
+        if (!inputReservation.tryGrow(input.capacity() * 2L, MemoryBudget.Holder.LARGE)) {
+            LOG.warn(
+                    "connection from {} closed: no memory for a frame reservedBytes={}",
+                    getEndPoint().getRemoteSocketAddress(),
+                    budget.reservedBytes());
+            throw new IOException("no memory for a frame");
+        }
         ByteBuffer larger = ByteBuffer.allocate(input.capacity() * 2);
         larger.put(input.flip());
         input = larger;
@@ -128,12 +177,15 @@
         input.flip();
         Optional<Frame> frame = FrameCodec.decode(input);
         while (frame.isPresent()) {
-            listener.received(this, frame.get());
+            if (!transfers.receive(frame.get())) {
+                listener.received(this, frame.get());
+            }
             frame = FrameCodec.decode(input);
         }
         input.compact();
         if (input.position() == 0 && input.capacity() > INITIAL_BUFFER_BYTES) {
             input = ByteBuffer.allocate(INITIAL_BUFFER_BYTES);
+            inputReservation.releaseAll();
         }
     }
 
@@ -145,17 +197,45 @@
      * @throws FrameException if the message is too large or cannot be encoded
      */
     public int send(Frame frame) throws FrameException {
+        CallBody largeBody = PeerTransfers.largeBodyOf(frame.message());
+        if (largeBody != null) {
+            Frame start = new Frame(frame.correlation(), frame.answer(), transfers.open(frame, largeBody));
+            return largeBody.length() + sendWhole(start);
+        }
+        return sendWhole(frame);
+    }
+
+    private int sendWhole(Frame frame) throws FrameException {
         ByteBuffer bytes = FrameCodec.encode(frame);
         int size = bytes.remaining();
-        writer.add(bytes);
-        writer.iterate();
+        if (writer.add(bytes)) {
+            writer.iterate();
+        } else {
+            LOG.warn(
+                    "connection to {} closed: more than {} bytes wait to be written",
+                    getEndPoint().getRemoteSocketAddress(),
+                    MAX_QUEUED_BYTES);
+            close();
+        }
         return size;
     }
 
+    /**
+     * Ends the transfer of a request that was not sent whole.
+     *
+     * @param correlation number of the request
+     * @return false if the request was sent whole, or was small
+     */
+    public boolean cancelTransfer(long correlation) {
+        return transfers.cancelRequest(correlation);
+    }
+
     @Override
     public void onClose(Throwable cause) {
         super.onClose(cause);
         writer.close();
+        transfers.close();
+        inputReservation.close();
         listener.closed(this);
     }
 
@@ -164,26 +244,73 @@
         return true;
     }
 
+    private final class TransferCarrier implements PeerTransfers.Carrier {
+        @Override
+        public void sendControl(Frame frame) {
+            try {
+                sendWhole(frame);
+            } catch (FrameException impossible) {
+                throw new IllegalStateException("control message of a transfer cannot be encoded", impossible);
+            }
+        }
+
+        @Override
+        public void partReady() {
+            writer.iterate();
+        }
+
+        @Override
+        public void deliver(Frame frame) {
+            listener.received(PeerConnection.this, frame);
+        }
+
+        @Override
+        public void refuse(Frame messageWithoutBody) {
+            listener.refused(PeerConnection.this, messageWithoutBody);
+        }
+
+        @Override
+        public void answerStarted(long correlation) {
+            listener.answerStarted(PeerConnection.this, correlation);
+        }
+    }
+
+    /** Writes queued frames first, and one part of a transfer at a time between them. */
     private final class Writer extends IteratingCallback {
         private final Queue<ByteBuffer> queue = new ArrayDeque<>();
+        private int queuedBytes;
 
-        void add(ByteBuffer buffer) {
+        /** Adds a frame; returns false if too many bytes are queued, since the other host does not read. */
+        boolean add(ByteBuffer buffer) {
             synchronized (queue) {
+                if (queuedBytes > MAX_QUEUED_BYTES) {
+                    return false;
+                }
+                queuedBytes += buffer.remaining();
                 queue.add(buffer);
             }
+            return true;
         }
 
         @Override
         protected Action process() {
-            ByteBuffer[] buffers;
+            List<ByteBuffer> buffers = new ArrayList<>();
             synchronized (queue) {
-                buffers = queue.toArray(ByteBuffer[]::new);
-                queue.clear();
+                int bytes = 0;
+                while (!queue.isEmpty() && bytes < MAX_WRITE_BYTES) {
+                    bytes += queue.peek().remaining();
+                    buffers.add(queue.remove());
+                }
+                queuedBytes -= bytes;
+            }
+            ByteBuffer[] part = transfers.nextPart();
+            if (part != null) {
+                buffers.addAll(List.of(part));
             }
-            if (buffers.length == 0) {
+            if (buffers.isEmpty()) {
                 return Action.IDLE;
             }
-            getEndPoint().write(this, buffers);
+            getEndPoint().write(this, buffers.toArray(ByteBuffer[]::new));
             return Action.SCHEDULED;
         }
 
--- a/node/src/main/java/org/anvillatch/node/peer/PeerServer.java
+++ b/node/src/main/java/org/anvillatch/node/peer/PeerServer.java
@@ -4,6 +4,12 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import org.anvillatch.decision.model.RefusalReason;
+import org.anvillatch.node.call.CallAnswer;
+import org.anvillatch.node.call.CallBody;
+import org.anvillatch.node.call.DispatchMessage;
+import org.anvillatch.node.memory.MemoryBudget;
+import org.anvillatch.node.memory.Reservation;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.AbstractConnectionFactory;
@@ -70,6 +76,8 @@
 
     private final Executor executor;
     private final Handler handler;
+    private final MemoryBudget budget;
+    private final Counter refusedForMemory;
     private final Counter malformed;
     private final Counter bytesSent;
 
@@ -78,19 +86,22 @@
      *
      * @param executor runs the reads
      * @param handler handles requests
-     * @param metrics registry for the counters of malformed frames and sent bytes
+     * @param budget account of the requests and answers
+     * @param metrics registry for the counters of malformed frames, refused requests and sent bytes
      */
-    public PeerServer(Executor executor, Handler handler, MetricRegistry metrics) {
+    public PeerServer(Executor executor, Handler handler, MemoryBudget budget, MetricRegistry metrics) {
         super("anvillatch/1");
         this.executor = executor;
         this.handler = handler;
+        this.budget = budget;
+        this.refusedForMemory = metrics.counter("peer.refused_for_memory");
         this.malformed = metrics.counter("peer.malformed");
         this.bytesSent = metrics.counter("peer.bytes_sent");
     }
 
     @Override
     public Connection newConnection(Connector connector, EndPoint endPoint) {
-        return configure(new PeerConnection(endPoint, executor, this), connector, endPoint);
+        return configure(new PeerConnection(endPoint, executor, budget, this), connector, endPoint);
     }
 
     @Override
@@ -100,7 +111,42 @@
             return;
         }
         RequestOrigin origin = new RequestOrigin(connection, frame.correlation());
-        handler.handleRequest(origin, frame.message(), answer -> reply(origin, answer));
+        if (frame.message() instanceof DispatchMessage dispatch) {
+            receiveDispatch(origin, dispatch);
+        } else {
+            handler.handleRequest(origin, frame.message(), answer -> reply(origin, answer));
+        }
+    }
+
+    /** Accounts for a dispatch until it is answered; the memory of a large body is reserved already. */
+    private void receiveDispatch(RequestOrigin origin, DispatchMessage dispatch) {
+        CallBody body = dispatch.body();
+        int fields = dispatch.head() == null ? 0 : dispatch.head().headers().size();
+        long bytes = MemoryBudget.REQUEST_BYTES
+                + (long) fields * MemoryBudget.FIELD_BYTES
+                + (body.isLarge() ? 0 : body.length());
+        if (!budget.tryReserve(bytes, MemoryBudget.Holder.SMALL)) {
+            body.release();
+            refuse(origin);
+            return;
+        }
+        Reservation reservation = new Reservation(budget, bytes);
+        handler.handleRequest(origin, dispatch, answer -> {
+            reservation.close();
+            body.release();
+            reply(origin, answer);
+        });
+    }
+
+    @Override
+    public void refused(PeerConnection connection, Frame frame) {
+        refuse(new RequestOrigin(connection, frame.correlation()));
+    }
+
+    private void refuse(RequestOrigin origin) {
+        refusedForMemory.inc();
+        LOG.info("dispatch refused for lack of memory reservedBytes={}", budget.reservedBytes());
+        reply(origin, CallAnswer.refused(RefusalReason.OVERLOAD, "no memory", CallAnswer.LoadReport.NONE, 0, ""));
     }
 
     private void reply(RequestOrigin origin, PeerMessage answer) {
--- a/node/src/test/java/org/anvillatch/node/configuration/ConfigurationServiceTest.java
+++ b/node/src/test/java/org/anvillatch/node/configuration/ConfigurationServiceTest.java
@@ -13,6 +13,7 @@
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
 import org.anvillatch.node.loop.TestHostStates;
+import org.anvillatch.node.memory.MemoryBudget;
 import org.anvillatch.node.peer.PeerClient;
 import org.anvillatch.node.platform.FakeLog;
 import org.junit.jupiter.api.AfterEach;
@@ -31,7 +32,8 @@
     private final MetricRegistry metrics = new MetricRegistry();
     private final HostState state = TestHostStates.create(member(SELF));
     private final FakeLog log = new FakeLog();
-    private final PeerClient peers = new PeerClient(loop, threads.pool(), threads.scheduler(), "127.0.0.1", metrics);
+    private final PeerClient peers =
+            new PeerClient(loop, threads.pool(), threads.scheduler(), "127.0.0.1", MemoryBudget.ofMaxHeap(), metrics);
     private final ConfigurationService service =
             new ConfigurationService(loop, state, peers, log, TimeUnit.HOURS.toMicros(1));
 
--- a/node/src/test/java/org/anvillatch/node/peer/PeerClientTest.java
+++ b/node/src/test/java/org/anvillatch/node/peer/PeerClientTest.java
@@ -9,6 +9,7 @@
 import org.anvillatch.decision.quarantine.CrashSuspects;
 import org.anvillatch.node.NodeThreads;
 import org.anvillatch.node.loop.DecisionLoop;
+import org.anvillatch.node.memory.MemoryBudget;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -18,8 +19,8 @@
 class PeerClientTest {
     private final NodeThreads threads = new NodeThreads();
     private final DecisionLoop loop = new DecisionLoop();
-    private final PeerClient client =
-            new PeerClient(loop, threads.pool(), threads.scheduler(), "127.0.0.1", new MetricRegistry());
+    private final PeerClient client = new PeerClient(
+            loop, threads.pool(), threads.scheduler(), "127.0.0.1", MemoryBudget.ofMaxHeap(), new MetricRegistry());
     private ServerSocket server;
 
     @BeforeEach
