Choose endpoints by the service time of the operation and the pace of their machines

Cause: hosts advertise one mean over all operations, so an endpoint that runs more of the longer ones looks slow and calls leave their failure domain; the pace of a shared machine was not known at all. Change: OperationServiceTimes at the gatekeeper, ServiceTimeReport for answers, ServiceTimes in the choice; without reports choices are made as before.

--- a/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/Gatekeeper.java
@@ -14,6 +14,7 @@
 import org.anvillatch.decision.model.OperationName;
 import org.anvillatch.decision.model.Rank;
 import org.anvillatch.decision.model.RefusalReason;
+import org.anvillatch.decision.model.ServiceTimeReport;
 
 /**
  * Admission control on the endpoint's own host: decides which work starts, is queued or is refused. It is the only
@@ -56,6 +57,7 @@
     private final Set<Long> running = new HashSet<>();
     private EndpointHealth health = new EndpointHealth();
     private ServiceTimeEstimator serviceTime = new ServiceTimeEstimator();
+    private OperationServiceTimes operationTimes = new OperationServiceTimes();
     private final CallTreeLimits treeLimits = new CallTreeLimits();
     private final DownstreamLevels downstream = new DownstreamLevels();
     private final Map<OperationName, LatencyEstimate> latencies = new HashMap<>();
@@ -88,6 +90,7 @@
         treeLimits.reset(slots);
         health = new EndpointHealth();
         serviceTime = new ServiceTimeEstimator();
+        operationTimes = new OperationServiceTimes();
         phase = EndpointPhase.SERVING;
     }
 
@@ -99,6 +102,7 @@
      */
     public void recordNotice(EndpointNotice notice, long nowMicros) {
         rateLimit.update(notice.maxRequestsPerSecond(), nowMicros);
+        operationTimes.recordLoad(notice.load());
     }
 
     /**
@@ -221,7 +225,9 @@
         }
         if (result == ExecutionResult.ANSWERED) {
             limit.recordSuccess();
-            serviceTime.addSample(Math.max(0, durationMicros - nestedCalls.executionMicros()));
+            long serviceMicros = Math.max(0, durationMicros - nestedCalls.executionMicros());
+            serviceTime.addSample(serviceMicros);
+            operationTimes.addSample(operation, serviceMicros);
             recordLatency(operation, durationMicros, nowMicros);
         } else if (result.lowersLimit()) {
             limit.recordRejection(nowMicros);
@@ -287,6 +293,16 @@
         return serviceTime.micros();
     }
 
+    /**
+     * Returns the service time of one operation, which is reported with each answer.
+     *
+     * @param operation the operation
+     * @return the service time, null if it is not known or the endpoint does not report the pace of its machine
+     */
+    public ServiceTimeReport serviceTimeOf(OperationName operation) {
+        return operationTimes.report(operation);
+    }
+
     /**
      * Returns the phase that is advertised to other hosts.
      *
--- a/decision/src/main/java/org/anvillatch/decision/routing/EndpointLoad.java
+++ b/decision/src/main/java/org/anvillatch/decision/routing/EndpointLoad.java
@@ -5,6 +5,7 @@
 
 import org.anvillatch.decision.admission.DecayingLevel;
 import org.anvillatch.decision.model.OperationName;
+import org.anvillatch.decision.model.ServiceTimeReport;
 
 /**
  * Load of one endpoint as seen by one sender. The sender knows its own calls in flight exactly; the load reported with
@@ -22,7 +23,16 @@
 
     private static final double LATENCY_EWMA_WEIGHT = 0.1;
 
+    /**
+     * Time for which a reported pace is used, in microseconds. A machine keeps its pace for some hundred milliseconds, as
+     * the processes that share it come and go.
+     */
+    private static final long PACE_FRESH_MICROS = 500_000;
+
     private final Map<OperationName, DecayingLevel> levels = new HashMap<>();
+    private final Map<OperationName, ServiceTimeReport> serviceTimes = new HashMap<>();
+    private int pacePercent;
+    private long paceMicros;
     private int inFlight;
     private int reportedInFlight;
     private long reportedMicros = -REPORT_FRESH_MICROS;
@@ -40,6 +50,11 @@
         reportedInFlight = feedback.inFlight();
         reportedMicros = nowMicros;
         levels.put(feedback.operation(), new DecayingLevel(feedback.level(), nowMicros));
+        if (feedback.serviceTime() != null) {
+            serviceTimes.put(feedback.operation(), feedback.serviceTime());
+            pacePercent = feedback.serviceTime().pacePercent();
+            paceMicros = nowMicros;
+        }
         if (feedback.durationMicros() > 0) {
             latencyMicros += (feedback.durationMicros() - latencyMicros) * LATENCY_EWMA_WEIGHT;
         }
@@ -66,6 +81,21 @@
         return levels.getOrDefault(operation, DecayingLevel.NONE).at(nowMicros);
     }
 
+    /** Returns the reported service time of an operation at the current pace in microseconds, 0 if none was reported. */
+    long serviceMicros(OperationName operation, long nowMicros) {
+        ServiceTimeReport report = serviceTimes.get(operation);
+        if (report == null) {
+            return 0;
+        }
+        boolean fresh = nowMicros - paceMicros < PACE_FRESH_MICROS;
+        return Math.max(1, report.microsAt(fresh ? pacePercent : ServiceTimeReport.USUAL_PACE_PERCENT));
+    }
+
+    /** Returns the age in microseconds of the newest answer of the endpoint. */
+    long reportAgeMicros(long nowMicros) {
+        return nowMicros - reportedMicros;
+    }
+
     /**
      * Returns utilization times service time; an advertised service time takes precedence over this sender's estimate.
      */
--- a/decision/src/main/java/org/anvillatch/decision/routing/EndpointSelector.java
+++ b/decision/src/main/java/org/anvillatch/decision/routing/EndpointSelector.java
@@ -81,16 +81,17 @@
         if (usable.isEmpty()) {
             return new RouteChoice(null, RefusalReason.NO_ENDPOINT, 0);
         }
-        List<Member> available = withSpareCapacity(usable, nowMicros);
-        Member best = cheapest(inOwnDomain(available), request, nowMicros);
+        ServiceTimes times = ServiceTimes.of(usable, request.operation(), this::load, nowMicros);
+        List<Member> available = withSpareCapacity(usable, times, nowMicros);
+        Member best = cheapest(localCandidates(available, times, random), times, request, nowMicros);
         if (best == null && hasUnsuitableEndpointsInOwnDomain(usable, available, nowMicros)) {
-            best = cheapest(sample(available, random), request, nowMicros);
+            best = cheapest(sample(available, random), times, request, nowMicros);
         }
         if (best == null) {
-            best = cheapest(sample(usable, random), request, nowMicros);
+            best = cheapest(sample(usable, random), times, request, nowMicros);
         }
         if (best == null) {
-            best = cheapest(usable, request, nowMicros);
+            best = cheapest(usable, times, request, nowMicros);
         }
         int level = lowestLevel(usable, request.operation(), nowMicros);
         return best == null ? new RouteChoice(null, RefusalReason.OVERLOAD, level) : new RouteChoice(best, null, level);
@@ -148,19 +149,18 @@
     }
 
     /** Returns the endpoints that have spare capacity and are not much slower than the fastest of them. */
-    private List<Member> withSpareCapacity(List<Member> usable, long nowMicros) {
+    private List<Member> withSpareCapacity(List<Member> usable, ServiceTimes times, long nowMicros) {
         List<Member> available = new ArrayList<>();
         long minServiceMicros = Long.MAX_VALUE;
         for (Member member : usable) {
             if (hasSpareCapacity(member, nowMicros)) {
                 available.add(member);
-                minServiceMicros = member.serviceTimeMicros() > 0
-                        ? Math.min(minServiceMicros, member.serviceTimeMicros())
-                        : minServiceMicros;
+                long serviceMicros = times.micros(member);
+                minServiceMicros = serviceMicros > 0 ? Math.min(minServiceMicros, serviceMicros) : minServiceMicros;
             }
         }
         double maxServiceMicros = minServiceMicros * MAX_LOCAL_SLOWDOWN;
-        available.removeIf(member -> member.serviceTimeMicros() > maxServiceMicros);
+        available.removeIf(member -> times.micros(member) > maxServiceMicros);
         return available;
     }
 
@@ -168,9 +168,14 @@
         return load(member).utilization(member.slots(), nowMicros) < MAX_LOCAL_UTILIZATION;
     }
 
-    /** Returns the endpoints in this failure domain. Calls stay in the domain while one of them has spare capacity. */
-    private List<Member> inOwnDomain(List<Member> members) {
-        return members.stream().filter(this::isInOwnDomain).toList();
+    /**
+     * Returns the endpoints in this failure domain among which the cheapest is chosen. Calls stay in the domain while one
+     * of them has spare capacity. If endpoints report how fast they are now, all senders know the same fastest one, so
+     * only a sample is compared.
+     */
+    private List<Member> localCandidates(List<Member> available, ServiceTimes times, RandomGenerator random) {
+        List<Member> local = available.stream().filter(this::isInOwnDomain).toList();
+        return times.areReported() ? sample(local, random) : local;
     }
 
     private boolean isInOwnDomain(Member member) {
@@ -198,7 +203,7 @@
         return sample;
     }
 
-    private Member cheapest(List<Member> candidates, Request request, long nowMicros) {
+    private Member cheapest(List<Member> candidates, ServiceTimes times, Request request, long nowMicros) {
         Member best = null;
         double bestCost = Double.MAX_VALUE;
         for (Member member : candidates) {
@@ -206,7 +211,7 @@
             if (load.level(request.operation(), nowMicros) > request.rank()) {
                 continue;
             }
-            double cost = load.cost(member.slots(), member.serviceTimeMicros(), nowMicros) * domainFactor(member);
+            double cost = load.cost(member.slots(), times.micros(member), nowMicros) * domainFactor(member);
             if (cost < bestCost) {
                 bestCost = cost;
                 best = member;
