--- a/node/src/test/java/org/anvillatch/node/call/GatekeeperServiceTest.java
+++ b/node/src/test/java/org/anvillatch/node/call/GatekeeperServiceTest.java
@@ -219,7 +219,7 @@
     @Test
     void revokedKeysRefuseOnlyWorkThatHasNotStarted() {
         applyTeams(1, team("blue", "a", "b", "c"), team("red", "d"));
-        service.endpointAnnounced(new EndpointAnnouncement("desk", "10.0.0.1:80", 1, 1, "i@1"));
+        service.endpointState().announced(new EndpointAnnouncement("desk", "10.0.0.1:80", 1, 1, "i@1"));
         dispatch(null, "blue", idOf("a"));
         dispatch(null, "blue", idOf("a"));
         dispatch(null, "blue", idOf("b"));
@@ -235,7 +235,7 @@
     /** A sender may know an older configuration, or a newer one with keys that this host does not know yet. */
     @Test
     void lateDispatchWithARevokedKeyIsRefusedAndOneWithANewKeyIsNot() {
-        service.endpointAnnounced(FIRST);
+        service.endpointState().announced(FIRST);
         applyTeams(1, team("blue", "a"));
         applyTeams(2, team("blue", "b"));
         dispatch(null, "blue", idOf("a"));
