Check the keys of teams at the product's own interface

Cause: only callers of the users' platform were authenticated.

Change: teams are part of the operators' configuration, with hashes in place of keys; all errors are reported together. A call without a valid Anvillatch-Key gets 401 where teams are declared, the endpoint gets Anvillatch-Team, and the allowance is asked.

--- a/decision/src/main/java/org/anvillatch/decision/configuration/Configuration.java
+++ b/decision/src/main/java/org/anvillatch/decision/configuration/Configuration.java
@@ -11,6 +11,8 @@
 
 import org.anvillatch.decision.model.OperationName;
 import org.anvillatch.decision.model.Rank;
+import org.anvillatch.decision.team.ApiKeyHash;
+import org.anvillatch.decision.team.Team;
 
 /**
  * One version of the operators' configuration. Immutable and thread safe.
@@ -24,6 +26,7 @@
  * @param drainedDomains names of drained failure domains
  * @param quarantined fingerprints quarantined by operators
  * @param released fingerprints released by operators
+ * @param teams declared teams by name; callers need an API key unless it is empty
  */
 public record Configuration(
         long version,
@@ -33,7 +36,13 @@
         SortedSet<String> drainedHosts,
         SortedSet<String> drainedDomains,
         SortedSet<String> quarantined,
-        SortedSet<String> released) {
+        SortedSet<String> released,
+        SortedMap<String, TeamPolicy> teams) {
+    /** Replaces what a snapshot of an earlier version does not name. */
+    public Configuration {
+        teams = teams == null ? new TreeMap<>() : teams;
+    }
+
     /** Version of the configuration before the first record. */
     public static final long NO_VERSION = -1;
 
@@ -49,7 +58,8 @@
             new TreeSet<>(),
             new TreeSet<>(),
             new TreeSet<>(),
-            new TreeSet<>());
+            new TreeSet<>(),
+            new TreeMap<>());
 
     /**
      * Returns the policy of an operation.
@@ -71,6 +81,22 @@
         return Math.max(0, importances.indexOf(policy.importance()));
     }
 
+    /**
+     * Returns the declared teams as callers are compared with them.
+     *
+     * @return the teams, ordered by name
+     */
+    public List<Team> teamList() {
+        List<Team> list = new ArrayList<>();
+        teams.forEach((name, policy) -> list.add(new Team(
+                name,
+                policy.importance() == null ? Team.NO_IMPORTANCE : importances.indexOf(policy.importance()),
+                policy.ratePerSecond(),
+                policy.burst(),
+                policy.keyHashes())));
+        return list;
+    }
+
     /**
      * Applies the changes of one record.
      *
@@ -96,6 +122,7 @@
         private final SortedSet<String> drainedDomains;
         private final SortedSet<String> quarantined;
         private final SortedSet<String> released;
+        private final SortedMap<String, TeamPolicy> teams;
 
         Builder(Configuration from) {
             importances = from.importances;
@@ -105,6 +132,7 @@
             drainedDomains = new TreeSet<>(from.drainedDomains);
             quarantined = new TreeSet<>(from.quarantined);
             released = new TreeSet<>(from.released);
+            teams = new TreeMap<>(from.teams);
         }
 
         void apply(ConfigurationChange change) {
@@ -118,6 +146,10 @@
                 Set<String> drained =
                         drain.scope() == ConfigurationChange.DrainScope.HOST ? drainedHosts : drainedDomains;
                 setPresent(drained, drain.name(), drain.drained());
+            } else if (change instanceof ConfigurationChange.Team team) {
+                teams.put(team.name(), team.policy());
+            } else if (change instanceof ConfigurationChange.TeamRemoval removal) {
+                teams.remove(removal.name());
             } else if (change instanceof ConfigurationChange.Quarantine quarantine) {
                 setPresent(quarantined, quarantine.fingerprint(), quarantine.quarantined());
                 setPresent(released, quarantine.fingerprint(), !quarantine.quarantined());
@@ -147,6 +179,28 @@
             for (Map.Entry<String, OperationPolicy> entry : operations.entrySet()) {
                 checkOperation(entry.getKey(), entry.getValue(), findings);
             }
+            checkTeams(findings);
+        }
+
+        private void checkTeams(List<Finding> findings) {
+            Map<String, String> owners = new TreeMap<>();
+            teams.forEach((name, policy) -> {
+                String place = "team " + name;
+                if (policy.importance() != null && !importances.contains(policy.importance())) {
+                    findings.add(new Finding(
+                            place, "importance \"" + policy.importance() + "\" is not in the order " + importances));
+                }
+                for (String hash : policy.keyHashes()) {
+                    if (!ApiKeyHash.isHash(hash)) {
+                        findings.add(new Finding(place, "\"" + hash + "\" is not a SHA-256 in lower-case digits"));
+                        continue;
+                    }
+                    String owner = owners.putIfAbsent(ApiKeyHash.idOf(hash), name);
+                    if (owner != null) {
+                        findings.add(new Finding(place, "key " + hash + " is already declared for team " + owner));
+                    }
+                }
+            });
         }
 
         private void checkOperation(String name, OperationPolicy policy, List<Finding> findings) {
@@ -162,7 +216,15 @@
 
         Configuration build(long version) {
             return new Configuration(
-                    version, importances, operations, retryBound, drainedHosts, drainedDomains, quarantined, released);
+                    version,
+                    importances,
+                    operations,
+                    retryBound,
+                    drainedHosts,
+                    drainedDomains,
+                    quarantined,
+                    released,
+                    teams);
         }
     }
 
@@ -195,6 +257,7 @@
                 changes.add(new ConfigurationChange.Drain(ConfigurationChange.DrainScope.DOMAIN, domain, true)));
         quarantined.forEach(fingerprint -> changes.add(new ConfigurationChange.Quarantine(fingerprint, true)));
         released.forEach(fingerprint -> changes.add(new ConfigurationChange.Quarantine(fingerprint, false)));
+        teams.forEach((name, policy) -> changes.add(new ConfigurationChange.Team(name, policy)));
         return changes;
     }
 }
--- a/decision/src/main/java/org/anvillatch/decision/configuration/ConfigurationChange.java
+++ b/decision/src/main/java/org/anvillatch/decision/configuration/ConfigurationChange.java
@@ -85,6 +85,35 @@
         }
     }
 
+    /**
+     * Declares a team; replaces an earlier declaration.
+     *
+     * @param name name of the team
+     * @param policy what is declared
+     */
+    record Team(String name, TeamPolicy policy) implements ConfigurationChange {
+        @Override
+        public String text() {
+            String importance = policy.importance() == null ? "" : " importance " + policy.importance();
+            String rate =
+                    policy.ratePerSecond() == 0 ? "" : " rate " + policy.ratePerSecond() + " burst " + policy.burst();
+            String keys = policy.keyHashes().isEmpty() ? "" : " keys " + String.join(", ", policy.keyHashes());
+            return "team " + name + importance + rate + keys;
+        }
+    }
+
+    /**
+     * Removes a team and its keys.
+     *
+     * @param name name of the team
+     */
+    record TeamRemoval(String name) implements ConfigurationChange {
+        @Override
+        public String text() {
+            return "remove team " + name;
+        }
+    }
+
     /**
      * Quarantines or releases a request.
      *
--- a/decision/src/main/java/org/anvillatch/decision/routing/ActiveRoutes.java
+++ b/decision/src/main/java/org/anvillatch/decision/routing/ActiveRoutes.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -61,16 +62,29 @@
                 table.routes().stream().map(RequestRoute::importance).collect(Collectors.toSet()));
     }
 
+    /**
+     * Replaces the teams of a host that has a configuration in the operators' language instead of a route table.
+     *
+     * @param next the declared teams
+     * @param operationImportances importances of the declared operations
+     */
+    public void replaceTeams(List<Team> next, Set<Integer> operationImportances) {
+        teams = new TeamDirectory(next);
+        revokedKeys.update(teams);
+        levels = new ImportanceLevels(
+                next.stream().map(Team::importance).collect(Collectors.toSet()), operationImportances);
+    }
+
     /**
      * Returns the importance of a root request: ordered by the importance of its team, then by that of its route.
      *
      * @param team name of the request's team, empty if it has none
-     * @param route route of the request
+     * @param routeImportance importance of the request's route or operation
      * @return importance for {@link org.anvillatch.decision.model.Rank}
      */
-    public int importanceOf(String team, RequestRoute route) {
+    public int importanceOf(String team, int routeImportance) {
         int teamImportance = teams.findByName(team).map(Team::importance).orElse(Team.NO_IMPORTANCE);
-        return levels.of(teamImportance, route.importance());
+        return levels.of(teamImportance, routeImportance);
     }
 
     /**
--- a/decision/src/main/java/org/anvillatch/decision/team/ApiKeyHash.java
+++ b/decision/src/main/java/org/anvillatch/decision/team/ApiKeyHash.java
@@ -1,5 +1,7 @@
 package org.anvillatch.decision.team;
 
+import java.util.regex.Pattern;
+
 import org.apache.commons.codec.digest.DigestUtils;
 
 /**
@@ -7,8 +9,7 @@
  * other hosts. Stateless and thread safe.
  */
 public final class ApiKeyHash {
-    /** Length of a hash in characters. */
-    public static final int CHARS = 64;
+    private static final Pattern HASH = Pattern.compile("[0-9a-f]{64}");
 
     /**
      * Length of a key id in characters. 64 bits suffice to distinguish the keys of one configuration, and each dispatch
@@ -28,6 +29,16 @@
         return DigestUtils.sha256Hex(key);
     }
 
+    /**
+     * Returns whether a text has the form of a hash.
+     *
+     * @param text the text
+     * @return true for 64 lower-case hexadecimal digits
+     */
+    public static boolean isHash(String text) {
+        return HASH.matcher(text).matches();
+    }
+
     /**
      * Returns the id by which hosts refer to a key. An id must never serve to authenticate a caller.
      *
--- a/decision/src/test/java/org/anvillatch/decision/configuration/ConfigurationReducerTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/configuration/ConfigurationReducerTest.java
@@ -7,6 +7,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.anvillatch.decision.model.LogPosition;
+import org.anvillatch.decision.team.ApiKeyHash;
+import org.anvillatch.decision.team.Team;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -82,6 +84,44 @@
         assertThat(reducer.current().version()).isEqualTo(Configuration.NO_VERSION);
     }
 
+    private static ConfigurationRecord teams(String change, long basedOn, ConfigurationChange... changes) {
+        return new ConfigurationRecord(change, basedOn, "operator", 0, List.of(changes), null, 0);
+    }
+
+    private static ConfigurationChange team(String name, String importance, String... hashes) {
+        return new ConfigurationChange.Team(name, new TeamPolicy(importance, 4, 8, List.of(hashes)));
+    }
+
+    @Test
+    void teamsAreDeclaredReplacedAndRemoved() {
+        String first = ApiKeyHash.of("a");
+        reducer.addRecord(0, teams("a", Configuration.NO_VERSION, team("blue", "normal", first), team("red", null)));
+        assertThat(reducer.current().teamList())
+                .containsExactly(
+                        new Team("blue", 0, 4, 8, List.of(first)),
+                        new Team("red", Team.NO_IMPORTANCE, 4, 8, List.of()));
+        reducer.addRecord(1, teams("b", 0, new ConfigurationChange.TeamRemoval("blue"), team("red", null, first)));
+        assertThat(reducer.current().teams().keySet()).containsExactly("red");
+        assertThat(reducer.current().asChanges().toString()).contains(first);
+    }
+
+    /** Guards against a key that belongs to two teams, and against corrections that take one version for each error. */
+    @Test
+    void allErrorsOfTeamsAreReportedAndNothingIsApplied() {
+        String hash = ApiKeyHash.of("a");
+        reducer.addRecord(
+                0,
+                teams(
+                        "a",
+                        Configuration.NO_VERSION,
+                        team("blue", "huge", hash),
+                        team("red", null, hash, "not-a-hash")));
+        assertThat(reducer.verdictOf("a").findings().toString()).contains("team blue: importance \"huge\"");
+        assertThat(reducer.verdictOf("a").findings().toString()).contains("already declared for team blue");
+        assertThat(reducer.verdictOf("a").findings().toString()).contains("not a SHA-256");
+        assertThat(reducer.current().teams()).isEmpty();
+    }
+
     private static ConfigurationRecord boundIn(long history, String change, long basedOn, int retries) {
         return new ConfigurationRecord(
                 change, basedOn, "operator", 0, List.of(new ConfigurationChange.RetryBound(retries)), null, history);
--- a/decision/src/test/java/org/anvillatch/decision/routing/ActiveRoutesTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/routing/ActiveRoutesTest.java
@@ -83,9 +83,12 @@
         RequestRoute high = new RequestRoute("high", "h", "/h/", List.of(service("a", 1)), true, 1, 1, 9, 1, false);
         List<Team> teams = List.of(new Team("gold", 15, 0, 0, List.of()), new Team("iron", 3, 0, 0, List.of()));
         routes.updateIfNewer(new RouteTable(1, List.of(low, high), Map.of(), new RequestLimits(1, 1, 1), teams));
-        assertThat(routes.importanceOf("iron", high)).isGreaterThan(routes.importanceOf("iron", low));
-        assertThat(routes.importanceOf("gold", low)).isGreaterThan(routes.importanceOf("iron", high));
-        assertThat(routes.importanceOf("gold", high)).isGreaterThan(routes.importanceOf("gold", low));
+        assertThat(routes.importanceOf("iron", high.importance()))
+                .isGreaterThan(routes.importanceOf("iron", low.importance()));
+        assertThat(routes.importanceOf("gold", low.importance()))
+                .isGreaterThan(routes.importanceOf("iron", high.importance()));
+        assertThat(routes.importanceOf("gold", high.importance()))
+                .isGreaterThan(routes.importanceOf("gold", low.importance()));
         assertThat(routes.importancesInUse()).hasSize(4);
     }
 
--- a/language/src/main/java/org/anvillatch/language/Question.java
+++ b/language/src/main/java/org/anvillatch/language/Question.java
@@ -13,6 +13,9 @@
     /** Asks for all hosts with their endpoints and load. */
     record ShowHosts() implements Question {}
 
+    /** Asks for the declared teams. */
+    record ShowTeams() implements Question {}
+
     /** Asks for the quarantined requests. */
     record ShowQuarantine() implements Question {}
 
--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -4,10 +4,12 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.stream.Collectors;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import org.anvillatch.decision.admission.Gatekeeper;
+import org.anvillatch.decision.configuration.Configuration;
 import org.anvillatch.decision.configuration.ConfigurationReducer;
 import org.anvillatch.decision.drain.EndpointPhase;
 import org.anvillatch.decision.idempotency.IdempotencyLedger;
@@ -220,10 +222,26 @@
     }
 
     private void configurationChanged() {
+        applyTeams();
         state.suspects().release(state.configuration().current().released());
         gatekeeperService.endpointState().applyDrain();
     }
 
+    private void applyTeams() {
+        Configuration current = state.configuration().current();
+        state.routes()
+                .replaceTeams(
+                        current.teamList(),
+                        current.operations().values().stream()
+                                .map(current::importance)
+                                .collect(Collectors.toSet()));
+        callHandler.teamAdmission().teamsChanged();
+        int refused = gatekeeperService.refuseRevoked();
+        if (refused > 0) {
+            LOG.info("queued requests of revoked keys refused={}", refused);
+        }
+    }
+
     private HostStatus status() {
         Member self = state.membership().self();
         return new HostStatus(
--- a/node/src/main/java/org/anvillatch/node/caller/CallHandler.java
+++ b/node/src/main/java/org/anvillatch/node/caller/CallHandler.java
@@ -3,6 +3,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
@@ -15,6 +16,7 @@
 import org.anvillatch.decision.model.Rank;
 import org.anvillatch.decision.model.RefusalReason;
 import org.anvillatch.decision.retry.RetryBudget;
+import org.anvillatch.decision.team.TeamDirectory;
 import org.anvillatch.node.call.Call;
 import org.anvillatch.node.call.CallAnswer;
 import org.anvillatch.node.call.CallBody;
@@ -28,6 +30,8 @@
 import org.anvillatch.node.endpoint.CallHeaders;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
+import org.anvillatch.node.team.TeamAdmission;
+import org.anvillatch.node.team.TeamIdentity;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
@@ -52,6 +56,7 @@
     private static final int CONFLICT = 409;
     private static final int CONTENT_TOO_LARGE = 413;
     private static final long MICROS_PER_MILLI = 1_000;
+    private static final long MICROS_PER_SECOND = 1_000_000;
 
     private final DecisionLoop loop;
     private final HostState state;
@@ -59,6 +64,7 @@
     private final IdempotencyService idempotencyService;
     private final GatekeeperService gatekeeperService;
     private final CallDecisionRecorder decisions;
+    private final TeamAdmission teamAdmission;
     private final Timer timer;
     private final AtomicLong nextRequest = new AtomicLong();
     private volatile boolean draining;
@@ -90,9 +96,19 @@
         this.idempotencyService = idempotencyService;
         this.gatekeeperService = gatekeeperService;
         this.decisions = decisions;
+        this.teamAdmission = new TeamAdmission(loop, state, metrics);
         this.timer = metrics.timer("calls.duration");
     }
 
+    /**
+     * Returns the admission of teams' requests.
+     *
+     * @return the admission, owned by the loop
+     */
+    public TeamAdmission teamAdmission() {
+        return teamAdmission;
+    }
+
     /** Refuses all further root requests. */
     public void refuseRootRequests() {
         draining = true;
@@ -155,27 +171,40 @@
     private void handleRoot(Exchange exchange, CallBody body) throws HeaderException {
         String root = requestId(exchange.request());
         int attempt = (int) number(exchange.request(), CallHeaders.ATTEMPT, 0, 0, Short.MAX_VALUE);
-        RefusalReason refusal = rootRefusal(exchange.operation(), attempt);
+        TeamIdentity caller = identify(exchange.request());
+        RefusalReason refusal = rootRefusal(exchange.operation(), attempt, caller);
         if (refusal != null) {
             refuse(exchange, root, refusal);
             return;
         }
         Configuration configuration = state.configuration().current();
         OperationPolicy policy = configuration.policy(exchange.operation());
-        int rank = Rank.of(configuration.importance(policy), root);
+        int importance = state.routes().importanceOf(caller.team(), configuration.importance(policy));
+        int rank = Rank.of(importance, root);
         String traceparent = header(exchange.request(), CallHeaders.TRACEPARENT);
-        CallContext context = new CallContext(root, attempt, root, rank, !policy.idempotent(), traceparent);
+        CallContext context = new CallContext(
+                root, attempt, root, rank, !policy.idempotent(), traceparent, caller.team(), caller.keyId());
         int retries = RetryBudget.shareOfAttempt(configuration.retryBound(), attempt);
         run(exchange, context, policy, body, policy.deadlineMillis() * MICROS_PER_MILLI, retries, null);
     }
 
-    private RefusalReason rootRefusal(OperationName operation, int attempt) {
+    /** Identifies the team of a root request; returns null if the request lacks a valid key. */
+    private TeamIdentity identify(Request request) {
+        TeamDirectory teams = state.routes().teams();
+        return teams.isEmpty() ? TeamIdentity.NONE : TeamIdentity.find(teams, header(request, CallHeaders.API_KEY));
+    }
+
+    private RefusalReason rootRefusal(OperationName operation, int attempt, TeamIdentity caller) {
         if (draining) {
             return RefusalReason.DRAINING;
         }
         if (!state.configuration().isKnown()) {
             return RefusalReason.NO_CONFIGURATION;
         }
+        if (caller == null) {
+            teamAdmission.recordUnauthenticated();
+            return RefusalReason.UNAUTHENTICATED;
+        }
         Configuration configuration = state.configuration().current();
         if (configuration.policy(operation) == null) {
             return RefusalReason.UNDECLARED;
@@ -211,7 +240,9 @@
                 parent.name() + ":" + callNumber,
                 parentContext.rank(),
                 parentContext.atMostOnce() && !policy.idempotent(),
-                parentContext.traceparent());
+                parentContext.traceparent(),
+                parentContext.team(),
+                "");
         long remaining = parent.deadlineMicros() - loop.nowMicros();
         run(exchange, context, policy, body, remaining, parent.budget().takeShare(), parent);
     }
@@ -231,12 +262,31 @@
         String key = idempotencyKey(exchange.request(), policy, context);
         String fingerprint = Fingerprint.of(exchange.operation().toString(), body.content());
         Call call = new Call(context, exchange.operation(), policy, body, key, fingerprint, deadline, retries, 0, null);
+        if (parent != null) {
+            start(exchange, call, parent, TeamAdmission.UNCOUNTED);
+            return;
+        }
+        teamAdmission.admit(context.team(), permit -> {
+            if (permit.verdict().isGranted()) {
+                start(exchange, call, null, permit);
+            } else {
+                long seconds = (permit.verdict().retryMicros() + MICROS_PER_SECOND - 1) / MICROS_PER_SECOND;
+                exchange.response().getHeaders().put(HttpHeader.RETRY_AFTER, seconds);
+                refuse(exchange, context.root(), RefusalReason.ALLOWANCE);
+            }
+        });
+    }
+
+    private void start(Exchange exchange, Call call, GatekeeperService.Execution parent, TeamAdmission.Permit permit) {
         long startedNanos = System.nanoTime();
-        if (!key.isEmpty()) {
-            idempotencyService.run(call, answer -> finish(exchange, call, answer, parent, startedNanos));
+        Consumer<CallAnswer> reply = answer -> {
+            permit.recordOutcome(answer.outcome());
+            finish(exchange, call, answer, parent, startedNanos);
+        };
+        if (!call.key().isEmpty()) {
+            idempotencyService.run(call, reply);
         } else {
-            CallRouter.RoutedCall routedCall =
-                    router.route(call, answer -> finish(exchange, call, answer, parent, startedNanos));
+            CallRouter.RoutedCall routedCall = router.route(call, reply);
             if (parent != null) {
                 parent.addNestedCall(routedCall);
             }
@@ -286,6 +336,9 @@
     }
 
     private void refuse(Exchange exchange, String root, RefusalReason reason) {
+        if (reason == RefusalReason.UNAUTHENTICATED) {
+            exchange.response().getHeaders().put(HttpHeader.WWW_AUTHENTICATE, CallHeaders.API_KEY);
+        }
         String detail = "operation " + exchange.operation() + ": " + reason.wireName();
         CallAnswer answer = CallAnswer.refused(
                 reason,
--- a/node/src/main/java/org/anvillatch/node/caller/HttpResponses.java
+++ b/node/src/main/java/org/anvillatch/node/caller/HttpResponses.java
@@ -130,7 +130,7 @@
         RefusalReason reason = answer.reason();
         if (reason != null) {
             response.getHeaders().put(CallHeaders.REASON, reason.wireName());
-            if (reason.hasRetryAfter()) {
+            if (reason.hasRetryAfter() && !response.getHeaders().contains(HttpHeader.RETRY_AFTER)) {
                 response.getHeaders().put(HttpHeader.RETRY_AFTER, RETRY_AFTER_SECONDS);
             }
         }
--- a/node/src/main/java/org/anvillatch/node/endpoint/CallHeaders.java
+++ b/node/src/main/java/org/anvillatch/node/endpoint/CallHeaders.java
@@ -31,6 +31,12 @@
     /** Idempotency key. */
     public static final String IDEMPOTENCY_KEY = "Idempotency-Key";
 
+    /** API key of the caller's team; never forwarded. */
+    public static final String API_KEY = "Anvillatch-Key";
+
+    /** Name of the team to which the request belongs, set by the node on calls to the endpoint. */
+    public static final String TEAM = "Anvillatch-Team";
+
     /** W3C trace context. */
     public static final String TRACEPARENT = "traceparent";
 
--- a/node/src/main/java/org/anvillatch/node/endpoint/EndpointClient.java
+++ b/node/src/main/java/org/anvillatch/node/endpoint/EndpointClient.java
@@ -87,6 +87,9 @@
             headers.put(CallHeaders.CALL_PATH, message.context().path());
             headers.put(CallHeaders.CONTEXT, executionName);
             headers.put(CallHeaders.TIMEOUT, remainingMillis);
+            if (!message.context().team().isEmpty()) {
+                headers.put(CallHeaders.TEAM, message.context().team());
+            }
             if (!message.context().traceparent().isEmpty()) {
                 headers.put(CallHeaders.TRACEPARENT, message.context().traceparent());
             }
--- a/node/src/main/java/org/anvillatch/node/operator/OperatorTables.java
+++ b/node/src/main/java/org/anvillatch/node/operator/OperatorTables.java
@@ -102,6 +102,19 @@
                 Integer.toString(host.members()));
     }
 
+    static CommandAnswer.Table teams(Configuration configuration) {
+        List<List<String>> rows = new ArrayList<>();
+        configuration
+                .teams()
+                .forEach((name, policy) -> rows.add(List.of(
+                        name,
+                        policy.importance() == null ? "" : policy.importance(),
+                        policy.ratePerSecond() == 0 ? "" : Integer.toString(policy.ratePerSecond()),
+                        policy.ratePerSecond() == 0 ? "" : Integer.toString(policy.burst()),
+                        Integer.toString(policy.keyHashes().size()))));
+        return new CommandAnswer.Table("teams", List.of("team", "importance", "rate", "burst", "keys"), rows);
+    }
+
     static CommandAnswer.Table shed(
             Question.ShowShed question, List<Decision> refusals, List<String> importances, long nowMillis) {
         Map<String, Integer> counts = new TreeMap<>();
--- a/node/src/main/java/org/anvillatch/node/operator/QuestionCommand.java
+++ b/node/src/main/java/org/anvillatch/node/operator/QuestionCommand.java
@@ -72,6 +72,8 @@
                     OperatorTables.statements(state.configuration().current()), OperatorTables.domains(hosts))));
         } else if (question instanceof Question.ShowHosts) {
             withHosts(hosts -> listener.accept(List.of(OperatorTables.hosts(hosts))));
+        } else if (question instanceof Question.ShowTeams) {
+            listener.accept(List.of(OperatorTables.teams(state.configuration().current())));
         } else if (question instanceof Question.ShowHistory) {
             listener.accept(List.of(OperatorTables.history(state.configuration().verdicts())));
         } else if (question instanceof Question.ShowChange show) {
--- a/node/src/main/java/org/anvillatch/node/peer/FrameCodec.java
+++ b/node/src/main/java/org/anvillatch/node/peer/FrameCodec.java
@@ -40,6 +40,8 @@
         @JsonSubTypes.Type(value = ConfigurationChange.Operation.class, name = "operation"),
         @JsonSubTypes.Type(value = ConfigurationChange.RetryBound.class, name = "retry-bound"),
         @JsonSubTypes.Type(value = ConfigurationChange.Drain.class, name = "drain"),
+        @JsonSubTypes.Type(value = ConfigurationChange.Team.class, name = "team"),
+        @JsonSubTypes.Type(value = ConfigurationChange.TeamRemoval.class, name = "team-removal"),
         @JsonSubTypes.Type(value = ConfigurationChange.Quarantine.class, name = "quarantine")
     })
     private interface ConfigurationChangeMixIn {}
--- a/node/src/test/java/org/anvillatch/node/endpoint/EndpointClientTest.java
+++ b/node/src/test/java/org/anvillatch/node/endpoint/EndpointClientTest.java
@@ -51,7 +51,7 @@
 
     private CompletableFuture<EndpointAnswer> send() {
         DispatchMessage message = new DispatchMessage(
-                new CallContext("r", 0, "r", 0, false, ""),
+                new CallContext("r", 0, "r", 0, false, "", "blue", "0123456789abcdef"),
                 new OperationName("desk", "write"),
                 false,
                 new CallBody("", new byte[0]),
@@ -67,17 +67,20 @@
         return answer;
     }
 
-    /** Accepts a connection, reads the head of a request, writes the response and closes. */
-    private void respond(String response) throws IOException {
+    /** Accepts a connection, reads the head of a request, writes the response and closes; returns the head. */
+    private String respond(String response) throws IOException {
         try (Socket socket = server.accept()) {
             socket.setSoTimeout(SOCKET_TIMEOUT_MILLIS);
             BufferedReader reader =
                     new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+            StringBuilder head = new StringBuilder();
             String line = reader.readLine();
             while (line != null && !line.isEmpty()) {
+                head.append(line).append('\n');
                 line = reader.readLine();
             }
             socket.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
+            return head.toString();
         }
     }
 
@@ -98,6 +101,16 @@
         assertThat(result(answer)).isEqualTo(ExchangeResult.MISMATCHED);
     }
 
+    /** Guards against endpoints that cannot tell teams apart, and against keys that leave the node. */
+    @Test
+    void theEndpointGetsTheTeamButNotTheKey() throws Exception {
+        CompletableFuture<EndpointAnswer> answer = send();
+        String head = respond(refusal("Anvillatch-Context: " + EXECUTION + "\r\n"));
+        assertThat(head).contains("Anvillatch-Team: blue\n");
+        assertThat(head).doesNotContain("0123456789abcdef");
+        assertThat(result(answer)).isEqualTo(ExchangeResult.REJECTED);
+    }
+
     @Test
     void refusalOfTheExecutionIsAccepted() throws Exception {
         CompletableFuture<EndpointAnswer> answer = send();
--- a/node/src/test/java/org/anvillatch/node/peer/FrameCodecTest.java
+++ b/node/src/test/java/org/anvillatch/node/peer/FrameCodecTest.java
@@ -16,6 +16,7 @@
 import org.anvillatch.decision.configuration.ConfigurationRecord;
 import org.anvillatch.decision.configuration.ConfigurationSnapshot;
 import org.anvillatch.decision.configuration.OperationPolicy;
+import org.anvillatch.decision.configuration.TeamPolicy;
 import org.anvillatch.decision.drain.EndpointPhase;
 import org.anvillatch.decision.membership.Member;
 import org.anvillatch.decision.membership.MemberStatus;
@@ -53,6 +54,9 @@
             MemberStatus.ALIVE,
             0);
 
+    private static final ConfigurationChange TEAM =
+            new ConfigurationChange.Team("blue", new TeamPolicy("normal", 3, 4, List.of(ApiKeyHash.of("key-1"))));
+
     private static PeerMessage encodeAndDecode(PeerMessage message) throws FrameException {
         ByteBuffer bytes = FrameCodec.encode(new Frame(77, true, message));
         Optional<Frame> frame = FrameCodec.decode(bytes);
@@ -71,7 +75,7 @@
     @Test
     void configurationRoundTrips() throws FrameException {
         ConfigurationRecord entry =
-                new ConfigurationRecord("c", 1, "me", 2, List.of(new ConfigurationChange.RetryBound(3)), null, 0);
+                new ConfigurationRecord("c", 1, "me", 2, List.of(new ConfigurationChange.RetryBound(3), TEAM), null, 0);
         PeerMessage message = new ControlMessages.ConfigurationAnswer(
                 new ConfigurationSnapshot(Configuration.EMPTY, 5, List.of(), 0),
                 List.of(new ControlMessages.PositionedRecord(6, entry)),
@@ -168,6 +172,9 @@
                 decodeHex("00000024a41705000000000000000001a17200a3722e3100c2a0a173a16fc3a0c400a1660502c0c0");
         assertThat(dispatch.context()).isEqualTo(context);
         assertThat(dispatch.retries()).isEqualTo(2);
+        ControlMessages.ConfigurationAnswer answer = (ControlMessages.ConfigurationAnswer)
+                decodeHex("00000026a4170a000000000000000001949498ff91a66e6f726d616c80029090909005900090a168a164");
+        assertThat(answer.snapshot().configuration()).isEqualTo(Configuration.EMPTY);
         ControlMessages.DecisionsAnswer decisions = (ControlMessages.DecisionsAnswer)
                 decodeHex("00000028a4170e00000000000000000191919d01a16e00a17200a3732f6f03a163a663686f73656ea00405c3");
         assertThat(decisions.decisions().get(0).team()).isEmpty();
