Order reports of an endpoint by process, and keep acknowledged leavings at other hosts

Cause: a node kept which process of its endpoint is leaving in its own memory, compared processes by born alone, and acknowledged reports that it dropped. A leaving is recorded at witnesses before it is acknowledged, and a node that starts asks them before its endpoint gets work (LeavingWitnesses). An answer to a ping names the incarnation and counts only for that one.

--- a/platform/src/main/java/org/anvillatch/platform/InstanceIdentity.java
+++ b/decision/src/main/java/org/anvillatch/decision/drain/InstanceIdentity.java
@@ -1,4 +1,4 @@
-package org.anvillatch.platform;
+package org.anvillatch.decision.drain;
 
 /**
  * Identity of one process of an endpoint: the platform may restart the endpoint under the same id. Immutable and thread
@@ -7,7 +7,7 @@
  * @param id id by which the platform knows the endpoint
  * @param startMillis wall clock time at which the process started, in milliseconds; 0 if it was not reported
  */
-record InstanceIdentity(String id, long startMillis) {
+public record InstanceIdentity(String id, long startMillis) {
     private static final char SEPARATOR = '@';
 
     /**
@@ -16,7 +16,7 @@
      * @param text text form of an identity
      * @return the identity
      */
-    static InstanceIdentity parse(String text) {
+    public static InstanceIdentity parse(String text) {
         int separator = text.lastIndexOf(SEPARATOR);
         return new InstanceIdentity(text.substring(0, separator), Long.parseLong(text.substring(separator + 1)));
     }
--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -33,6 +33,7 @@
 import org.anvillatch.node.endpoint.EndpointHandler;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
+import org.anvillatch.node.membership.LeavingWitnesses;
 import org.anvillatch.node.membership.MembershipService;
 import org.anvillatch.node.operator.ChangeCommand;
 import org.anvillatch.node.operator.CommandHandler;
@@ -119,7 +120,12 @@
         CommandHandler.AccessKeys keys = new CommandHandler.AccessKeys(settings.readKey(), settings.changeKey());
         CommandHandler commands = new CommandHandler(loop, state, changes, questions, keys, metrics);
         PeerRequestHandler commonHandler = new PeerRequestHandler(
-                loop, state, gatekeeperService, membershipService, new RouteTableService(loop, state, peers));
+                loop,
+                state,
+                gatekeeperService,
+                membershipService,
+                new RouteTableService(loop, state, peers),
+                new LeavingWitnesses(loop, state, peers, membershipService, metrics));
         NodePeerHandler peerHandler = new NodePeerHandler(
                 loop,
                 new NodePeerHandler.Services(
--- a/node/src/main/java/org/anvillatch/node/PeerRequestHandler.java
+++ b/node/src/main/java/org/anvillatch/node/PeerRequestHandler.java
@@ -8,6 +8,7 @@
 import org.anvillatch.node.call.GatekeeperService;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
+import org.anvillatch.node.membership.LeavingWitnesses;
 import org.anvillatch.node.membership.MembershipService;
 import org.anvillatch.node.peer.ControlMessages;
 import org.anvillatch.node.peer.PeerConnection;
@@ -32,6 +33,7 @@
     private final GatekeeperService gatekeeperService;
     private final MembershipService membership;
     private final RouteTableService routes;
+    private final LeavingWitnesses witnesses;
     private final Map<PeerServer.RequestOrigin, Long> dispatches = new HashMap<>();
 
     /**
@@ -42,18 +44,21 @@
      * @param gatekeeperService handles dispatches
      * @param membership handles gossip
      * @param routes returns the route table
+     * @param witnesses keeps which endpoints of other hosts are leaving
      */
     public PeerRequestHandler(
             DecisionLoop loop,
             HostState state,
             GatekeeperService gatekeeperService,
             MembershipService membership,
-            RouteTableService routes) {
+            RouteTableService routes,
+            LeavingWitnesses witnesses) {
         this.loop = loop;
         this.state = state;
         this.gatekeeperService = gatekeeperService;
         this.membership = membership;
         this.routes = routes;
+        this.witnesses = witnesses;
     }
 
     @Override
@@ -91,6 +96,10 @@
             reply.send(new ControlMessages.Acknowledge(true));
         } else if (message instanceof ControlMessages.RouteTableRequest) {
             reply.send(routes.answer());
+        } else if (message instanceof ControlMessages.LeavingNotice notice) {
+            witnesses.answer(notice, reply);
+        } else if (message instanceof ControlMessages.LeavingQuery query) {
+            witnesses.answer(query, reply);
         } else if (message instanceof ControlMessages.ConnectionCheck) {
             reply.send(new ControlMessages.Acknowledge(true));
         } else {
--- a/node/src/main/java/org/anvillatch/node/call/EndpointState.java
+++ b/node/src/main/java/org/anvillatch/node/call/EndpointState.java
@@ -45,7 +45,7 @@
     /** Whether the current process of the endpoint has answered this node. */
     private boolean answered;
 
-    /** The process of the endpoint that is leaving, null if none is. */
+    /** The current process of the endpoint if it is leaving, else null; it may not have announced itself. */
     private String leavingInstance;
 
     private boolean stopping;
@@ -105,15 +105,14 @@
     }
 
     /**
-     * Refuses new work for a process of the endpoint that is leaving.
+     * Refuses new work because the current process of the endpoint is leaving. The process may not have announced itself:
+     * it may have started again under its id, and work for the process before would reach it.
      *
-     * @param instance identity of the process
+     * @param instance identity of the current process
      */
     public void leaving(String instance) {
         leavingInstance = instance;
-        if (endpoint == null || endpoint.instance().equals(instance)) {
-            changePhase(EndpointPhase.LEAVING);
-        }
+        changePhase(EndpointPhase.LEAVING);
     }
 
     /** Refuses all new work from now on, whatever the endpoint announces, because this node stops. */
@@ -138,8 +137,7 @@
      * @param phase the new phase
      */
     public void changePhase(EndpointPhase phase) {
-        boolean leaving = stopping || endpoint != null && isLeaving(endpoint.instance());
-        if (leaving && phase != EndpointPhase.LEAVING) {
+        if ((stopping || leavingInstance != null) && phase != EndpointPhase.LEAVING) {
             return;
         }
         if (state.gatekeeper().phase() != phase) {
--- a/node/src/main/java/org/anvillatch/node/membership/MembershipService.java
+++ b/node/src/main/java/org/anvillatch/node/membership/MembershipService.java
@@ -9,6 +9,7 @@
 import org.anvillatch.decision.membership.Membership;
 import org.anvillatch.decision.membership.MembershipAction;
 import org.anvillatch.decision.membership.MembershipDigest;
+import org.anvillatch.decision.model.HostIdentity;
 import org.anvillatch.decision.quarantine.CrashSuspects;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
@@ -39,6 +40,7 @@
     private final HostState state;
     private final PeerClient peers;
     private final VersionedState versionedState;
+    private boolean synchronizedOnce;
 
     /**
      * Creates the service.
@@ -73,10 +75,12 @@
     }
 
     private void ping(String address, String target) {
+        Member pinged = state.membership().find(target);
+        long incarnation = pinged == null ? 0 : pinged.host().incarnation();
         peers.send(address, pingMessage(target), MESSAGE_TIMEOUT_MICROS, new Listener(address) {
             @Override
             void received(PeerMessage message) {
-                handleAnswer(address, target, message);
+                handleAnswer(address, new HostIdentity(target, incarnation), message);
             }
         });
     }
@@ -92,19 +96,30 @@
         return new ControlMessages.Ping(membership.self(), updates, version());
     }
 
-    private void handleAnswer(String address, String target, PeerMessage message) {
+    private void handleAnswer(String address, HostIdentity target, PeerMessage message) {
         if (message instanceof ControlMessages.PingAnswer answer) {
             state.membership().mergeUpdates(answer.updates(), loop.nowMicros());
-            // Only the target's own answer shows that it is alive; another host may use the same address by now.
-            if (answer.name().equals(target)) {
-                state.membership().answered(target);
+            if (isFrom(target, answer)) {
+                state.membership().answered(target.name());
             }
             versionedState.peerVersionReceived(address, answer.version());
         }
     }
 
+    /**
+     * Returns whether an answer shows that the pinged incarnation of a host is alive; another host, or a later process on
+     * the same host, may use the address by now. A node of an earlier version does not name its incarnation.
+     */
+    private static boolean isFrom(HostIdentity target, ControlMessages.PingAnswer answer) {
+        boolean incarnationMatches =
+                answer.incarnation() == 0 || target.incarnation() == 0 || answer.incarnation() == target.incarnation();
+        return answer.name().equals(target.name()) && incarnationMatches;
+    }
+
     private void indirectPing(MembershipAction.IndirectPing action) {
-        PeerMessage request = new ControlMessages.IndirectPing(action.target(), action.targetAddress());
+        Member pinged = state.membership().find(action.target());
+        long incarnation = pinged == null ? 0 : pinged.host().incarnation();
+        PeerMessage request = new ControlMessages.IndirectPing(action.target(), action.targetAddress(), incarnation);
         peers.send(action.address(), request, MESSAGE_TIMEOUT_MICROS, new Listener(action.address()) {
             @Override
             void received(PeerMessage message) {
@@ -133,7 +148,17 @@
         });
     }
 
+    /**
+     * Returns whether another host has answered with its view since the start.
+     *
+     * @return true if the view of this host contains what that host knew
+     */
+    boolean isSynchronized() {
+        return synchronizedOnce;
+    }
+
     private void handleAnswer(String address, int buckets, ControlMessages.SynchronizeAnswer answer) {
+        synchronizedOnce = true;
         Membership membership = state.membership();
         List<Member> own = MembershipDigest.select(membership.all(), answer.differing(), buckets);
         membership.mergeUpdates(answer.members(), loop.nowMicros());
@@ -161,7 +186,8 @@
         if (known != null && known.supersedes(ping.sender())) {
             updates.add(known);
         }
-        reply.send(new ControlMessages.PingAnswer(membership.self().host().name(), updates, version()));
+        HostIdentity self = membership.self().host();
+        reply.send(new ControlMessages.PingAnswer(self.name(), updates, version(), self.incarnation()));
     }
 
     /**
@@ -178,8 +204,8 @@
                 new PeerClient.AnswerListener() {
                     @Override
                     public void answered(PeerMessage message) {
-                        boolean alive = message instanceof ControlMessages.PingAnswer answer
-                                && answer.name().equals(request.target());
+                        HostIdentity target = new HostIdentity(request.target(), request.incarnation());
+                        boolean alive = message instanceof ControlMessages.PingAnswer answer && isFrom(target, answer);
                         reply.send(new ControlMessages.Acknowledge(alive));
                     }
 
--- a/node/src/main/java/org/anvillatch/node/peer/ControlMessages.java
+++ b/node/src/main/java/org/anvillatch/node/peer/ControlMessages.java
@@ -32,16 +32,19 @@
      * @param name name of the answering host
      * @param updates recent membership updates
      * @param version version of the data that the answering host holds, see VersionedState
+     * @param incarnation incarnation of the answering host, 0 from a node of an earlier version
      */
-    public record PingAnswer(String name, List<Member> updates, long version) implements PeerMessage {}
+    public record PingAnswer(String name, List<Member> updates, long version, long incarnation)
+            implements PeerMessage {}
 
     /**
      * Asks a host to ping another host.
      *
      * @param target name of the host to ping
      * @param targetAddress IP address and port of the host to ping
+     * @param incarnation incarnation of the host to ping, 0 from a node of an earlier version
      */
-    public record IndirectPing(String target, String targetAddress) implements PeerMessage {}
+    public record IndirectPing(String target, String targetAddress, long incarnation) implements PeerMessage {}
 
     /**
      * Compares the membership views of two hosts.
@@ -157,4 +160,26 @@
      * @param status current state of the answering host
      */
     public record StatusAnswer(HostStatus status) implements PeerMessage {}
+
+    /**
+     * Tells a witness which processes of the endpoint on a host are leaving. The answer is {@link Acknowledge}.
+     *
+     * @param host name of the host
+     * @param processes identities of the processes, the latest last
+     */
+    public record LeavingNotice(String host, List<String> processes) implements PeerMessage {}
+
+    /**
+     * Asks a witness which processes of the endpoint on a host are leaving.
+     *
+     * @param host name of the host
+     */
+    public record LeavingQuery(String host) implements PeerMessage {}
+
+    /**
+     * Answers which processes of the endpoint on a host are leaving.
+     *
+     * @param processes identities of the processes, the latest last; empty if none is known
+     */
+    public record LeavingAnswer(List<String> processes) implements PeerMessage {}
 }
--- a/node/src/main/java/org/anvillatch/node/peer/MessageKind.java
+++ b/node/src/main/java/org/anvillatch/node/peer/MessageKind.java
@@ -53,9 +53,16 @@
     /** Answers with the route table. */
     ROUTE_TABLE_ANSWER(20, ControlMessages.RouteTableAnswer.class),
     /** Checks whether a connection still carries frames. */
-    CONNECTION_CHECK(21, ControlMessages.ConnectionCheck.class);
+    CONNECTION_CHECK(21, ControlMessages.ConnectionCheck.class),
+    /** Tells a witness which processes of an endpoint are leaving. */
+    LEAVING_NOTICE(30, ControlMessages.LeavingNotice.class),
+    /** Asks a witness which processes of an endpoint are leaving. */
+    LEAVING_QUERY(31, ControlMessages.LeavingQuery.class),
+    /** Answers which processes of an endpoint are leaving. */
+    LEAVING_ANSWER(32, ControlMessages.LeavingAnswer.class);
 
-    private static final MessageKind[] BY_CODE = new MessageKind[values().length + 1];
+    private static final int MAX_CODE = 127;
+    private static final MessageKind[] BY_CODE = new MessageKind[MAX_CODE + 1];
     private static final Map<Class<?>, MessageKind> BY_TYPE = new HashMap<>();
 
     static {
