--- a/node/src/main/java/org/anvillatch/node/call/CallRouter.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallRouter.java
@@ -52,7 +52,7 @@
     private final MetricRegistry metrics;
     private final Supplier<RetryTokenBucket> newRetryBucket;
     private final Map<String, RetryTokenBucket> retryBuckets = new HashMap<>();
-    private int inFlight;
+    private final Set<RoutedCall> openCalls = new HashSet<>();
 
     /**
      * Creates a router.
@@ -91,7 +91,7 @@
      */
     public RoutedCall route(Call call, Consumer<CallAnswer> reply) {
         RoutedCall routedCall = new RoutedCall(call, reply);
-        inFlight++;
+        openCalls.add(routedCall);
         retryBucket(call).recordFirstAttempt();
         routedCall.dispatchToNextHost();
         return routedCall;
@@ -107,7 +107,17 @@
      * @return 0 or more
      */
     public int inFlight() {
-        return inFlight;
+        return openCalls.size();
+    }
+
+    /** Cancels all calls; each is still answered. */
+    public void cancelAll() {
+        List.copyOf(openCalls).forEach(RoutedCall::cancel);
+    }
+
+    /** Answers all calls that are not answered yet, because this node stops; their outcome is unknown. */
+    public void abandonAll() {
+        List.copyOf(openCalls).forEach(RoutedCall::abandon);
     }
 
     /** A call that is being routed. Owned by the decision loop. */
@@ -146,6 +156,13 @@
             cancelDispatch.run();
         }
 
+        private void abandon() {
+            if (!completed) {
+                String host = state.membership().self().host().name();
+                complete(CallAnswer.unknown("host " + host + " stops before the answer arrived", host, List.of()));
+            }
+        }
+
         private void dispatchToNextHost() {
             long now = loop.nowMicros();
             RefusalReason refusal = refusalBeforeRouting(now);
@@ -207,8 +224,11 @@
         }
 
         private void dispatchLocally(Member host, DispatchMessage message) {
+            Runnable before = cancelDispatch;
             long execution = gatekeeperService.dispatch(message, answer -> handleAnswer(host, answer));
-            cancelDispatch = () -> gatekeeperService.cancel(execution);
+            if (cancelDispatch == before) {
+                cancelDispatch = () -> gatekeeperService.cancel(execution);
+            }
         }
 
         private void dispatchToPeer(Member host, DispatchMessage message, long timeoutMicros) {
@@ -261,6 +281,10 @@
         }
 
         private void retryOrComplete(Member host, CallAnswer answer) {
+            if (completed) {
+                // The call was abandoned.
+                return;
+            }
             if (answer.outcome().mayHaveRun()) {
                 possiblyExecuted = answer;
             }
@@ -337,7 +361,7 @@
                 throw new IllegalStateException("call " + call.context().path() + " was already answered");
             }
             completed = true;
-            inFlight--;
+            openCalls.remove(this);
             metrics.counter("calls.outcome." + answer.outcome().wireName()).inc();
             reply.accept(answer);
         }
--- a/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
+++ b/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
@@ -243,6 +243,11 @@
         }
     }
 
+    /** Cancels all dispatches; each is still answered. */
+    public void cancelAll() {
+        List.copyOf(executions.keySet()).forEach(this::cancel);
+    }
+
     /**
      * Lets the gatekeeper update its shed level and refuse or start queued work. Repeated while work is queued or the
      * shed level is above 0.
