--- a/node/src/main/java/org/anvillatch/node/call/CallRouter.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallRouter.java
@@ -92,8 +92,13 @@
     public RoutedCall route(Call call, Consumer<CallAnswer> reply) {
         RoutedCall routedCall = new RoutedCall(call, reply);
         openCalls.add(routedCall);
-        retryBucket(call).recordFirstAttempt();
-        routedCall.dispatchToNextHost();
+        try {
+            retryBucket(call).recordFirstAttempt();
+            routedCall.dispatchToNextHost();
+        } catch (RuntimeException | Error failure) {
+            routedCall.abandon();
+            throw failure;
+        }
         return routedCall;
     }
 
@@ -117,7 +122,7 @@
 
     /** Answers all calls that are not answered yet, because this node stops; their outcome is unknown. */
     public void abandonAll() {
-        List.copyOf(openCalls).forEach(RoutedCall::abandon);
+        List.copyOf(openCalls).forEach(RoutedCall::answerAtStop);
     }
 
     /** A call that is being routed. Owned by the decision loop. */
@@ -134,6 +139,9 @@
         private boolean cancelled;
         private boolean completed;
 
+        /** Whether the call has failed in this process, so that later answers to its dispatches are ignored. */
+        private boolean abandoned;
+
         private RoutedCall(Call call, Consumer<CallAnswer> reply) {
             this.call = call;
             this.reply = reply;
@@ -156,10 +164,38 @@
             cancelDispatch.run();
         }
 
+        /** Ends a call whose routing failed in this process; its dispatch, if there is one, may still run. */
         private void abandon() {
             if (!completed) {
+                completed = true;
+                abandoned = true;
+                openCalls.remove(this);
+                cancelDispatch.run();
+            }
+        }
+
+        /** Answers a call that has no answer yet when this node stops. */
+        private void answerAtStop() {
+            if (!completed) {
+                abandon();
                 String host = state.membership().self().host().name();
-                complete(CallAnswer.unknown("host " + host + " stops before the answer arrived", host, List.of()));
+                reply.accept(CallAnswer.unknown("host " + host + " stops before the answer arrived", host, List.of()));
+            }
+        }
+
+        /** Handles a result of a dispatch; a call that fails here is answered, since its dispatch may have run. */
+        private void handleResult(Runnable handling) {
+            if (abandoned) {
+                return;
+            }
+            try {
+                handling.run();
+            } catch (RuntimeException | Error failure) {
+                if (!completed) {
+                    abandon();
+                    reply.accept(CallAnswer.unknown("the routing failed", "", List.of()));
+                }
+                throw failure;
             }
         }
 
@@ -193,7 +229,11 @@
             if (now >= call.deadlineMicros()) {
                 return RefusalReason.DEADLINE;
             }
-            return state.isQuarantined(call.fingerprint()) ? RefusalReason.QUARANTINED : null;
+            if (state.isQuarantined(call.fingerprint())) {
+                return RefusalReason.QUARANTINED;
+            }
+            return state.routes()
+                    .revocationOf(call.context().keyId(), call.context().team());
         }
 
         private void refuse(RefusalReason reason, int level) {
@@ -225,7 +265,8 @@
 
         private void dispatchLocally(Member host, DispatchMessage message) {
             Runnable before = cancelDispatch;
-            long execution = gatekeeperService.dispatch(message, answer -> handleAnswer(host, answer));
+            long execution =
+                    gatekeeperService.dispatch(message, answer -> handleResult(() -> handleAnswer(host, answer)));
             if (cancelDispatch == before) {
                 cancelDispatch = () -> gatekeeperService.cancel(execution);
             }
@@ -237,7 +278,7 @@
                         @Override
                         public void answered(PeerMessage answer) {
                             if (answer instanceof CallAnswer callAnswer) {
-                                RoutedCall.this.handleAnswer(host, callAnswer);
+                                handleResult(() -> handleAnswer(host, callAnswer));
                             } else {
                                 failed(PeerClient.PeerFailure.NO_ANSWER);
                             }
@@ -245,7 +286,7 @@
 
                         @Override
                         public void failed(PeerClient.PeerFailure failure) {
-                            handleFailure(host, failure);
+                            handleResult(() -> handleFailure(host, failure));
                         }
                     });
             cancelDispatch = () -> peers.cancel(pending);
@@ -281,22 +322,29 @@
         }
 
         private void retryOrComplete(Member host, CallAnswer answer) {
-            if (completed) {
-                // The call was abandoned.
-                return;
-            }
             if (answer.outcome().mayHaveRun()) {
+                if (possiblyExecuted != null) {
+                    possiblyExecuted.body().release();
+                }
                 possiblyExecuted = answer;
             }
             if (mayRetry(answer) && !exceedsOverloadReroutes(answer) && (tryFreeReroute(answer) || tryUseRetry())) {
                 lastRefusal = answer.reason();
                 triedHosts.add(host.host().name());
+                releaseUnlessKept(answer);
                 dispatchToNextHost();
                 return;
             }
             complete(answer.withUnspentRetries(budget.remaining()));
         }
 
+        /** Releases the body of an answer that is not delivered, unless it may still be. */
+        private void releaseUnlessKept(CallAnswer answer) {
+            if (possiblyExecuted == null || possiblyExecuted.body() != answer.body()) {
+                answer.body().release();
+            }
+        }
+
         /**
          * Counts an overload refusal of a root request and returns whether the limit of reroutes is exceeded. Nested
          * calls have no such limit, since refusing one wastes the work of its parent calls.
@@ -333,7 +381,9 @@
         private boolean mayRetry(CallAnswer answer) {
             boolean otherHostAllowed =
                     answer.reason() == null || answer.reason().permitsAnotherEndpoint();
+            // The body of a call is released when a large answer to it has begun.
             return !cancelled
+                    && !(call.body().isLarge() && call.body().isReleased())
                     && otherHostAllowed
                     && answer.suspicions().isEmpty()
                     && permitsRetry(answer)
@@ -357,6 +407,9 @@
             CallAnswer answer = lastAnswer.outcome() == Outcome.NOT_RUN && possiblyExecuted != null
                     ? possiblyExecuted.withUnspentRetries(lastAnswer.unspentRetries())
                     : lastAnswer;
+            if (possiblyExecuted != null && possiblyExecuted.body() != answer.body()) {
+                possiblyExecuted.body().release();
+            }
             if (completed) {
                 throw new IllegalStateException("call " + call.context().path() + " was already answered");
             }
--- a/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
+++ b/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
@@ -106,6 +106,7 @@
         private Runnable abort = () -> {};
         private long startedMicros;
         private boolean started;
+        private boolean replied;
         private int nextCallNumber;
         private NestedCallStats nestedStats = NestedCallStats.NONE;
         private boolean nestedFailed;
@@ -202,6 +203,8 @@
             refuse(execution, RefusalReason.NO_ENDPOINT, 0);
         } else if (state.isQuarantined(message.fingerprint())) {
             refuse(execution, RefusalReason.QUARANTINED, 0);
+        } else if (revocationOf(execution) != null) {
+            refuse(execution, revocationOf(execution), 0);
         } else {
             Work work = new Work(
                     number,
@@ -248,6 +251,31 @@
         List.copyOf(executions.keySet()).forEach(this::cancel);
     }
 
+    /**
+     * Refuses the queued root requests whose API keys no longer belong to their teams.
+     *
+     * @return number of refused requests
+     */
+    public int refuseRevoked() {
+        int refused = 0;
+        for (Execution execution : List.copyOf(executions.values())) {
+            RefusalReason reason = revocationOf(execution);
+            if (reason != null
+                    && !state.gatekeeper()
+                            .cancel(execution.number, loop.nowMicros())
+                            .isEmpty()) {
+                refuse(execution, reason, 0);
+                refused++;
+            }
+        }
+        return refused;
+    }
+
+    private RefusalReason revocationOf(Execution execution) {
+        CallContext context = execution.message.context();
+        return state.routes().revocationOf(context.keyId(), context.team());
+    }
+
     /**
      * Lets the gatekeeper update its shed level and refuse or start queued work. Repeated while work is queued or the
      * shed level is above 0.
@@ -334,7 +362,20 @@
         return status.running() + status.waiting();
     }
 
+    /** Completes an execution; a sender on this host waits without a timeout, so it is answered also after a failure. */
     private void completeExecution(Execution execution, EndpointTransport.EndpointAnswer answer) {
+        try {
+            recordCompletion(execution, answer);
+        } catch (RuntimeException | Error failure) {
+            if (!execution.replied) {
+                execution.replied = true;
+                execution.reply.accept(CallAnswer.unknown("the gatekeeper failed", "", List.of()));
+            }
+            throw failure;
+        }
+    }
+
+    private void recordCompletion(Execution execution, EndpointTransport.EndpointAnswer answer) {
         executions.remove(execution.number);
         startedByCallPath.remove(execution.message.context().path(), execution);
         long now = loop.nowMicros();
@@ -357,7 +398,9 @@
         } else if (answer.result() == EndpointTransport.ExchangeResult.ANSWERED) {
             lostConnections.recordAnswered(execution.message.fingerprint());
         }
-        execution.reply.accept(toCallAnswer(execution, answer, durationMicros, suspicions));
+        CallAnswer callAnswer = toCallAnswer(execution, answer, durationMicros, suspicions);
+        execution.replied = true;
+        execution.reply.accept(callAnswer);
         perform(next);
         endpointState.updateHealth();
     }
--- a/node/src/main/java/org/anvillatch/node/membership/LeavingWitnesses.java
+++ b/node/src/main/java/org/anvillatch/node/membership/LeavingWitnesses.java
@@ -48,7 +48,7 @@
     private final PeerClient peers;
     private final MembershipService membership;
     private final LeavingRecords records = new LeavingRecords();
-    private final List<Runnable> waiting = new ArrayList<>();
+    private final List<RecoveryListener> waiting = new ArrayList<>();
     private Consumer<List<String>> recoveryListener = processes -> {};
     private long startMicros;
     private boolean otherHostsExcluded;
@@ -77,6 +77,15 @@
         metrics.register("endpoint.recovered", (Gauge<Integer>) () -> recovered ? 1 : 0);
     }
 
+    /** Waits until it is known which processes of the endpoint are leaving. */
+    public interface RecoveryListener {
+        /** Called when it is known. */
+        void recovered();
+
+        /** Called when it is not known after the timeout. */
+        void delayed();
+    }
+
     /** Collects the answers of several witnesses to one message. */
     private abstract class Round implements PeerClient.AnswerListener {
         private final int asked;
@@ -180,7 +189,9 @@
         startMicros = loop.nowMicros();
         loop.schedule(EndpointProcesses.MAX_LATENESS_MICROS, () -> {
             if (!recovered) {
-                // No witness is reachable; reports that arrive from now on were sent after the start.
+                // No witness is reachable. Reports that arrive from now on were sent after the start, the earlier ones
+                // may have been sent before.
+                waiting.clear();
                 finishRecovery("time", List.of());
             }
         });
@@ -195,23 +206,20 @@
     /**
      * Waits until it is known which processes of the endpoint are leaving.
      *
-     * @param timeoutMicros maximum wait in microseconds
-     * @param ready receives false if the time is over
+     * @param timeoutMicros time in microseconds after which the listener is told that it is not known yet
+     * @param listener told when it is known, also after the timeout
      */
-    public void awaitRecovery(long timeoutMicros, Consumer<Boolean> ready) {
+    public void awaitRecovery(long timeoutMicros, RecoveryListener listener) {
         if (recovered) {
-            ready.accept(true);
+            listener.recovered();
             return;
         }
-        boolean[] called = new boolean[1];
-        Consumer<Boolean> once = result -> {
-            if (!called[0]) {
-                called[0] = true;
-                ready.accept(result);
+        waiting.add(listener);
+        loop.schedule(timeoutMicros, () -> {
+            if (!recovered) {
+                listener.delayed();
             }
-        };
-        waiting.add(() -> once.accept(true));
-        loop.schedule(timeoutMicros, () -> once.accept(false));
+        });
     }
 
     private void tryRecovery() {
@@ -263,9 +271,9 @@
                 loop.nowMicros() - startMicros);
         recovered = true;
         recoveryListener.accept(processes);
-        List<Runnable> ready = List.copyOf(waiting);
+        List<RecoveryListener> told = List.copyOf(waiting);
         waiting.clear();
-        ready.forEach(Runnable::run);
+        told.forEach(RecoveryListener::recovered);
     }
 
     /**
--- a/node/src/main/java/org/anvillatch/node/peer/MessageKind.java
+++ b/node/src/main/java/org/anvillatch/node/peer/MessageKind.java
@@ -54,6 +54,14 @@
     ROUTE_TABLE_ANSWER(20, ControlMessages.RouteTableAnswer.class),
     /** Checks whether a connection still carries frames. */
     CONNECTION_CHECK(21, ControlMessages.ConnectionCheck.class),
+    /** Begins the transfer of a message with a large body. */
+    TRANSFER_START(22, TransferMessages.Start.class),
+    /** Permits the sender of a transfer to send further bytes. */
+    TRANSFER_GRANT(23, TransferMessages.Grant.class),
+    /** Carries bytes of a large body. */
+    TRANSFER_DATA(24, TransferMessages.Data.class),
+    /** Ends a transfer before its last byte. */
+    TRANSFER_END(25, TransferMessages.End.class),
     /** Tells a witness which processes of an endpoint are leaving. */
     LEAVING_NOTICE(30, ControlMessages.LeavingNotice.class),
     /** Asks a witness which processes of an endpoint are leaving. */
