Read the configuration at short intervals on one host of each failure domain

Cause: only the host that was first by name when its read began used reads of 1 s. Change: the first present host of each failure domain uses short reads, and a host that becomes the first replaces a longer read that is waiting.

--- a/decision/src/main/java/org/anvillatch/decision/membership/Membership.java
+++ b/decision/src/main/java/org/anvillatch/decision/membership/Membership.java
@@ -355,6 +355,20 @@
                         member.status().isPresent() && member.host().name().compareTo(self) < 0);
     }
 
+    /**
+     * Returns whether this host has the smallest name of all present hosts of its failure domain; tasks that one host of
+     * each domain suffices for are done by it.
+     *
+     * @return true if no other present host of the domain has a smaller name
+     */
+    public boolean isFirstPresentInDomain() {
+        String domain = members.get(self).domain();
+        return members.values().stream()
+                .noneMatch(member -> member.status().isPresent()
+                        && member.domain().equals(domain)
+                        && member.host().name().compareTo(self) < 0);
+    }
+
     /**
      * Returns the number of hosts in the view.
      *
