--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -35,6 +35,7 @@
 import org.anvillatch.node.endpoint.EndpointHandler;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
+import org.anvillatch.node.membership.LeavingWitnesses;
 import org.anvillatch.node.membership.MembershipService;
 import org.anvillatch.node.memory.MemoryBudget;
 import org.anvillatch.node.operator.ChangeCommand;
@@ -127,7 +128,12 @@
                 new Readiness(loop, scheduler, () -> "serving".equals(processState) && budget.hasRoomForRequests());
         CommandHandler commands = new CommandHandler(loop, state, changes, questions, keys, metrics, readiness);
         PeerRequestHandler commonHandler = new PeerRequestHandler(
-                loop, state, gatekeeperService, membershipService, new RouteTableService(loop, state, peers));
+                loop,
+                state,
+                gatekeeperService,
+                membershipService,
+                new RouteTableService(loop, state, peers),
+                new LeavingWitnesses(loop, state, peers, membershipService, metrics));
         NodePeerHandler peerHandler = new NodePeerHandler(
                 loop,
                 new NodePeerHandler.Services(
