Bound the connections of all listeners in number, header fields and progress

Cause: a listener accepted any number of connections; heads of legal size with thousands of short fields took thirty times their size; clients that send or read slowly, or stop, were closed only when idle. Change: ConnectionGuard closes connections by header_timeout and by bytes moved in a period; at the limit of a listener a new connection replaces one that is not in use; heads are bounded to 256 fields and accounted for while they are parsed.

--- a/decision/src/test/java/org/anvillatch/decision/routing/ActiveRoutesTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/routing/ActiveRoutesTest.java
@@ -19,7 +19,7 @@
     }
 
     private static RouteTable table(long version, RequestRoute... routes) {
-        return new RouteTable(version, List.of(routes), Map.of(), new RequestLimits(1, 1, 1));
+        return new RouteTable(version, List.of(routes), Map.of(), new RequestLimits(1, 1, 1, 1));
     }
 
     private static WeightedService service(String name, int weight) {
--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -31,6 +31,7 @@
 import org.anvillatch.node.decisionlog.DecisionLog;
 import org.anvillatch.node.endpoint.EndpointClient;
 import org.anvillatch.node.endpoint.EndpointHandler;
+import org.anvillatch.node.listener.ConnectionGuard;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
 import org.anvillatch.node.membership.MembershipService;
@@ -130,13 +131,15 @@
                 loop,
                 new NodePeerHandler.Services(
                         commonHandler, idempotencyService, configurationService, questions, this::status));
+        ConnectionGuard guard = new ConnectionGuard(scheduler, budget, metrics);
         NodeServer server = new NodeServer(
                 settings,
                 threads,
                 scheduler,
+                guard,
                 new NodeServer.Handlers(callHandler, new KeyHandler(loop, state), endpointHandler, commands),
                 new PeerServer(threads, peerHandler, budget, metrics));
-        services = List.of(loop, log, nodeThreads, peers, endpointClient, platform, server);
+        services = List.of(loop, log, nodeThreads, guard, peers, endpointClient, platform, server);
         registerMetrics();
     }
 
--- a/node/src/main/java/org/anvillatch/node/NodeServer.java
+++ b/node/src/main/java/org/anvillatch/node/NodeServer.java
@@ -2,12 +2,15 @@
 
 import java.util.List;
 
+import org.anvillatch.node.listener.ConnectionGuard;
+import org.anvillatch.node.listener.GuardedConnector;
+import org.anvillatch.node.listener.GuardedHttpFactory;
+import org.anvillatch.node.listener.ListenerConnections;
 import org.anvillatch.node.peer.PeerServer;
 import org.anvillatch.node.settings.NodeSettings;
 import org.eclipse.jetty.server.ConnectionFactory;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
-import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.server.Server;
@@ -25,6 +28,13 @@
     private static final String OPERATORS = "operator-address";
     private static final String PEERS = "peer-address";
     private static final long IDLE_TIMEOUT_MILLIS = 60_000;
+    private static final int MAX_CALLER_CONNECTIONS = 1_200;
+
+    /** The endpoint opens a connection for each of its nested calls that run at a time. */
+    private static final int MAX_ENDPOINT_CONNECTIONS = 600;
+
+    private static final int MAX_OPERATOR_CONNECTIONS = 64;
+    private static final int MAX_PEER_CONNECTIONS = 1_024;
 
     private final Server server;
 
@@ -32,12 +42,17 @@
     record Handlers(Handler calls, Handler keys, Handler endpoint, Handler commands) {}
 
     NodeServer(
-            NodeSettings settings, QueuedThreadPool threads, Scheduler scheduler, Handlers handlers, PeerServer peers) {
+            NodeSettings settings,
+            QueuedThreadPool threads,
+            Scheduler scheduler,
+            ConnectionGuard guard,
+            Handlers handlers,
+            PeerServer peers) {
         server = new Server(threads, scheduler, null);
-        addConnector(CALLERS, settings.callerAddress(), http());
-        addConnector(ENDPOINT, settings.endpointAddress(), http());
-        addConnector(OPERATORS, settings.operatorAddress(), http());
-        addConnector(PEERS, settings.peerAddress(), peers);
+        addConnector(guard.addListener(CALLERS, MAX_CALLER_CONNECTIONS), settings.callerAddress(), http());
+        addConnector(guard.addListener(ENDPOINT, MAX_ENDPOINT_CONNECTIONS), settings.endpointAddress(), http());
+        addConnector(guard.addListener(OPERATORS, MAX_OPERATOR_CONNECTIONS), settings.operatorAddress(), http());
+        addConnector(guard.addListener(PEERS, MAX_PEER_CONNECTIONS), settings.peerAddress(), peers);
         server.setHandler(new PortDispatcher(handlers));
     }
 
@@ -45,12 +60,13 @@
         HttpConfiguration configuration = new HttpConfiguration();
         configuration.setSendServerVersion(false);
         configuration.setSendDateHeader(false);
-        return new HttpConnectionFactory(configuration);
+        return new GuardedHttpFactory(configuration);
     }
 
-    private void addConnector(String name, NodeSettings.ListenAddress address, ConnectionFactory factory) {
-        ServerConnector connector = new ServerConnector(server, null, null, null, 1, 1, factory);
-        connector.setName(name);
+    private void addConnector(
+            ListenerConnections connections, NodeSettings.ListenAddress address, ConnectionFactory factory) {
+        ServerConnector connector = new GuardedConnector(server, null, 1, factory, connections);
+        connector.setName(connections.name());
         connector.setHost(address.host());
         connector.setPort(address.port());
         connector.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
--- a/node/src/main/java/org/anvillatch/node/memory/Reservation.java
+++ b/node/src/main/java/org/anvillatch/node/memory/Reservation.java
@@ -63,11 +63,15 @@
         return Math.max(0, bytes.get());
     }
 
-    /** Releases the bytes; more may be reserved afterwards. */
-    public void releaseAll() {
-        long held = bytes.getAndUpdate(current -> current == CLOSED ? CLOSED : 0);
-        if (held > 0) {
-            budget.release(held);
+    /**
+     * Releases the bytes beyond a number; more may be reserved afterwards.
+     *
+     * @param remaining number of bytes that stay reserved, if there are as many
+     */
+    public void reduceTo(long remaining) {
+        long held = bytes.getAndUpdate(current -> Math.min(current, remaining));
+        if (held > remaining) {
+            budget.release(held - remaining);
         }
     }
 
--- a/node/src/main/java/org/anvillatch/node/peer/PeerConnection.java
+++ b/node/src/main/java/org/anvillatch/node/peer/PeerConnection.java
@@ -185,7 +185,7 @@
         input.compact();
         if (input.position() == 0 && input.capacity() > INITIAL_BUFFER_BYTES) {
             input = ByteBuffer.allocate(INITIAL_BUFFER_BYTES);
-            inputReservation.releaseAll();
+            inputReservation.reduceTo(0);
         }
     }
 
