--- a/decision/src/main/java/org/anvillatch/decision/routing/ActiveRoutes.java
+++ b/decision/src/main/java/org/anvillatch/decision/routing/ActiveRoutes.java
@@ -1,35 +1,114 @@
 package org.anvillatch.decision.routing;
 
+import java.util.Collection;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+
+import org.anvillatch.decision.model.RefusalReason;
+import org.anvillatch.decision.team.ImportanceLevels;
+import org.anvillatch.decision.team.RevokedKeys;
+import org.anvillatch.decision.team.Team;
+import org.anvillatch.decision.team.TeamDirectory;
 
 /**
- * The routes that a host currently applies.
+ * The routes and teams that a host currently applies.
  *
- * <p>Invariant: the version never decreases during the lifetime of the process. Not thread safe: owned by the host's
+ * <p>Invariants: the version never decreases during the lifetime of the process; a table that names no teams because
+ * its sender does not know them never replaces one that does. Not thread safe: owned by the host's
  * decision loop.
  */
 public final class ActiveRoutes {
     private final WeightedRoundRobin split = new WeightedRoundRobin();
+    private final RevokedKeys revokedKeys = new RevokedKeys();
+    private TeamDirectory teams = TeamDirectory.EMPTY;
+    private ImportanceLevels levels = new ImportanceLevels(Set.of(), Set.of());
     private RouteTable table;
     private RouteIndex index;
 
     /**
      * Replaces the current table by a newer one.
      *
-     * @param candidate table that replaces the current one if its version is larger
+     * @param candidate table that replaces the current one if its version is larger, or if it has the same version and
+     *     names the teams that the current one lacks
      * @return true if the current table was replaced
      */
     public boolean updateIfNewer(RouteTable candidate) {
-        if (table != null && candidate.version() <= table.version()) {
+        if (table != null && !replaces(candidate)) {
             return false;
         }
         table = candidate;
         index = new RouteIndex(candidate);
+        teams = candidate.teams() == null ? TeamDirectory.EMPTY : new TeamDirectory(candidate.teams());
+        revokedKeys.update(teams);
+        levels = computeLevels(candidate);
         split.retain(candidate);
         return true;
     }
 
+    private static ImportanceLevels computeLevels(RouteTable table) {
+        Set<Integer> teamImportances = new HashSet<>();
+        if (table.teams() != null) {
+            table.teams().forEach(team -> teamImportances.add(team.importance()));
+        }
+        if (table.routes().stream().anyMatch(RequestRoute::isPublic)) {
+            teamImportances.add(Team.NO_IMPORTANCE);
+        }
+        return new ImportanceLevels(
+                teamImportances,
+                table.routes().stream().map(RequestRoute::importance).collect(Collectors.toSet()));
+    }
+
+    /**
+     * Returns the importance of a root request: ordered by the importance of its team, then by that of its route.
+     *
+     * @param team name of the request's team, empty if it has none
+     * @param route route of the request
+     * @return importance for {@link org.anvillatch.decision.model.Rank}
+     */
+    public int importanceOf(String team, RequestRoute route) {
+        int teamImportance = teams.findByName(team).map(Team::importance).orElse(Team.NO_IMPORTANCE);
+        return levels.of(teamImportance, route.importance());
+    }
+
+    /**
+     * Returns the importances that root requests can have.
+     *
+     * @return each importance at least once
+     */
+    public Collection<Integer> importancesInUse() {
+        return levels.inUse();
+    }
+
+    private boolean replaces(RouteTable candidate) {
+        if (candidate.teams() == null) {
+            return candidate.version() > table.version() && teams.isEmpty();
+        }
+        return candidate.version() > table.version() || candidate.version() == table.version() && table.teams() == null;
+    }
+
+    /**
+     * Returns the teams of the current table.
+     *
+     * @return the teams, never null
+     */
+    public TeamDirectory teams() {
+        return teams;
+    }
+
+    /**
+     * Returns the reason why a root request that has not started must be refused because its key was revoked.
+     *
+     * @param keyId id of the key that the request carried, empty if it carried none
+     * @param team team to which the key belonged when the request was accepted
+     * @return the reason, or null if the key was not revoked
+     */
+    public RefusalReason revocationOf(String keyId, String team) {
+        return revokedKeys.refusalOf(keyId, team);
+    }
+
     /**
      * Returns the current table.
      *
