--- a/node/src/test/java/org/anvillatch/node/peer/FrameCodecTest.java
+++ b/node/src/test/java/org/anvillatch/node/peer/FrameCodecTest.java
@@ -129,7 +129,7 @@
         RequestRoute route =
                 new RequestRoute("r", "h", "/x/", List.of(new WeightedService("s", 1)), true, 800, 500, 14, 2, true);
         Team team = new Team("blue", 3, 12.5, 20, List.of(ApiKeyHash.of("key-1")));
-        return new RouteTable(7, List.of(route), Map.of("s", 3), new RequestLimits(1, 2, 3), List.of(team));
+        return new RouteTable(7, List.of(route), Map.of("s", 3), new RequestLimits(1, 2, 3, 5), List.of(team));
     }
 
     /** Guards against hosts that learn the routes from another host and then accept requests without keys. */
