--- a/node/src/main/java/org/anvillatch/node/memory/MemoryBudget.java
+++ b/node/src/main/java/org/anvillatch/node/memory/MemoryBudget.java
@@ -125,6 +125,8 @@
         metrics.register("memory.total_bytes", (Gauge<Long>) () -> totalBytes);
         metrics.register("memory.reserved_bytes", (Gauge<Long>) this::reservedBytes);
         metrics.register("memory.peak_bytes", (Gauge<Long>) () -> peakBytes);
+        metrics.register("memory.heap_used_bytes", (Gauge<Long>)
+                () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
         metrics.register("memory.refusals", (Gauge<Long>) () -> refusals);
         metrics.register("memory.waits", (Gauge<Long>) () -> waits);
         metrics.register("memory.leaked_bytes", (Gauge<Long>) () -> leakedBytes);
--- a/node/src/test/java/org/anvillatch/node/team/TeamAdmissionTest.java
+++ b/node/src/test/java/org/anvillatch/node/team/TeamAdmissionTest.java
@@ -58,7 +58,8 @@
 
     private void applyTeams(List<Team> teams) {
         long version = state.routes().version() + 1;
-        state.routes().updateIfNewer(new RouteTable(version, List.of(), Map.of(), new RequestLimits(1, 1, 1, 1), teams));
+        state.routes()
+                .updateIfNewer(new RouteTable(version, List.of(), Map.of(), new RequestLimits(1, 1, 1, 1), teams));
         admission.teamsChanged();
     }
 
--- a/testbed/src/main/java/org/anvillatch/testbed/TestbedMain.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/TestbedMain.java
@@ -8,6 +8,7 @@
 import org.anvillatch.testbed.demo.LogMain;
 import org.anvillatch.testbed.experiment.ExperimentMain;
 import org.anvillatch.testbed.fault.FaultMain;
+import org.anvillatch.testbed.hostile.HostileMain;
 
 /**
  * Entry point of all testbed processes; the first argument names the subcommand. Stateless.
@@ -42,6 +43,7 @@
         String[] remaining = arguments.length == 0 ? arguments : Arrays.copyOfRange(arguments, 1, arguments.length);
         return switch (name) {
             case "fault" -> FaultMain.run(remaining);
+            case "hostile" -> HostileMain.run(remaining);
             case "capacity" -> CapacityMain.run(remaining);
             default -> ExperimentMain.run(arguments);
         };
--- /dev/null
+++ b/testbed/src/main/java/org/anvillatch/testbed/hostile/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Load of hostile callers against a node process of the users' platform.
+ */
+package org.anvillatch.testbed.hostile;
