--- a/decision/src/main/java/org/anvillatch/decision/allowance/OwnedSlots.java
+++ b/decision/src/main/java/org/anvillatch/decision/allowance/OwnedSlots.java
@@ -26,6 +26,9 @@
      */
     private static final double FRUITLESS_REQUESTS_PER_SECOND = 20;
 
+    /** Capacity below which no token is given in advance: one host would hold much of a small team's burst. */
+    private static final double MIN_CAPACITY_FOR_ADVANCE = 8;
+
     /** Fraction of the capacity below which a host gets no more than a fair part in advance. */
     private static final double SCARCE_FRACTION = 0.25;
 
@@ -182,7 +185,7 @@
         int granted = bucket.take(host, request.needed(), Allowance.MIN_VALIDITY_MICROS, nowMicros);
         long validMicros = slot.allowance.validityMicros();
         int competitors = Math.max(1, slot.askedMicros.size());
-        if (granted == request.needed() && !request.slot().isReserve()) {
+        if (granted == request.needed() && bucket.capacity() >= MIN_CAPACITY_FOR_ADVANCE) {
             int available = bucket.available(nowMicros);
             int fairPart = 2 * available / (competitors + 1);
             int plenty = available - (int) (bucket.capacity() * SCARCE_FRACTION);
--- a/decision/src/main/java/org/anvillatch/decision/allowance/TokenRequest.java
+++ b/decision/src/main/java/org/anvillatch/decision/allowance/TokenRequest.java
@@ -9,4 +9,12 @@
  * @param unused number of tokens that are given back
  * @param refused number of the team's requests that this host has refused and not reported yet
  */
-public record TokenRequest(SlotId slot, int needed, int wanted, int unused, int refused) {}
+public record TokenRequest(SlotId slot, int needed, int wanted, int unused, int refused) {
+    /** Replaces negative numbers, which another host may send, by 0. */
+    public TokenRequest {
+        needed = Math.max(0, needed);
+        wanted = Math.max(0, wanted);
+        unused = Math.max(0, unused);
+        refused = Math.max(0, refused);
+    }
+}
--- a/decision/src/main/java/org/anvillatch/decision/membership/Membership.java
+++ b/decision/src/main/java/org/anvillatch/decision/membership/Membership.java
@@ -182,6 +182,15 @@
         }
     }
 
+    /**
+     * Returns whether this host knows an address at which another host may be found.
+     *
+     * @return false if no seed was given or found yet
+     */
+    public boolean hasSeeds() {
+        return !seeds.isEmpty();
+    }
+
     /** Pings one dead host: after a partition, two hosts that consider each other dead would not make contact again. */
     private void pingDeadHost(long nowMicros, RandomGenerator random, List<MembershipAction> actions) {
         List<Member> dead = new ArrayList<>();
--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -44,6 +44,7 @@
 import org.anvillatch.node.platform.HttpPlatformLog;
 import org.anvillatch.node.routes.RouteTableService;
 import org.anvillatch.node.settings.NodeSettings;
+import org.anvillatch.node.team.TeamAllowanceService;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.slf4j.Logger;
@@ -78,6 +79,7 @@
     private final EndpointHandler endpointHandler;
     private final MembershipService membershipService;
     private final ConfigurationService configurationService;
+    private final TeamAllowanceService allowances;
     private volatile String processState = "starting";
     private long lastTickMicros;
 
@@ -119,8 +121,14 @@
         CommandHandler.AccessKeys keys = new CommandHandler.AccessKeys(settings.readKey(), settings.changeKey());
         Readiness readiness = new Readiness(loop, scheduler, () -> "serving".equals(processState));
         CommandHandler commands = new CommandHandler(loop, state, changes, questions, keys, metrics, readiness);
+        allowances = new TeamAllowanceService(loop, state, peers::send, metrics);
         PeerRequestHandler commonHandler = new PeerRequestHandler(
-                loop, state, gatekeeperService, membershipService, new RouteTableService(loop, state, peers));
+                loop,
+                state,
+                gatekeeperService,
+                membershipService,
+                new RouteTableService(loop, state, peers),
+                allowances);
         NodePeerHandler peerHandler = new NodePeerHandler(
                 loop,
                 new NodePeerHandler.Services(
@@ -198,6 +206,7 @@
         loop.scheduleRepeatedly(TICK_PERIOD_MICROS, this::tick);
         loop.scheduleRepeatedly(MembershipService.TICK_PERIOD_MICROS, membershipService::tick);
         loop.scheduleRepeatedly(MembershipService.TICK_PERIOD_MICROS, configurationService::tick);
+        loop.scheduleRepeatedly(TeamAllowanceService.TICK_PERIOD_MICROS, allowances::tick);
         loop.scheduleRepeatedly(MembershipService.TICK_PERIOD_MICROS, endpointHandler::checkHeartbeat);
         processState = "serving";
         LOG.info(
--- a/node/src/main/java/org/anvillatch/node/PeerRequestHandler.java
+++ b/node/src/main/java/org/anvillatch/node/PeerRequestHandler.java
@@ -9,17 +9,19 @@
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
 import org.anvillatch.node.membership.MembershipService;
+import org.anvillatch.node.peer.AllowanceMessages;
 import org.anvillatch.node.peer.ControlMessages;
 import org.anvillatch.node.peer.PeerConnection;
 import org.anvillatch.node.peer.PeerMessage;
 import org.anvillatch.node.peer.PeerServer;
 import org.anvillatch.node.routes.RouteTableService;
+import org.anvillatch.node.team.TeamAllowanceService;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Handles the requests between hosts that do not depend on the interface to callers: dispatches, gossip and route
- * tables.
+ * Handles the requests between hosts that do not depend on the interface to callers: dispatches, gossip, route
+ * tables and allowances of teams.
  *
  * <p>Invariant: the dispatches of a connection are cancelled when it closes. Thread safe: requests are handled on the
  * decision loop.
@@ -32,6 +34,7 @@
     private final GatekeeperService gatekeeperService;
     private final MembershipService membership;
     private final RouteTableService routes;
+    private final TeamAllowanceService allowances;
     private final Map<PeerServer.RequestOrigin, Long> dispatches = new HashMap<>();
 
     /**
@@ -42,18 +45,21 @@
      * @param gatekeeperService handles dispatches
      * @param membership handles gossip
      * @param routes returns the route table
+     * @param allowances handles requests for tokens of teams
      */
     public PeerRequestHandler(
             DecisionLoop loop,
             HostState state,
             GatekeeperService gatekeeperService,
             MembershipService membership,
-            RouteTableService routes) {
+            RouteTableService routes,
+            TeamAllowanceService allowances) {
         this.loop = loop;
         this.state = state;
         this.gatekeeperService = gatekeeperService;
         this.membership = membership;
         this.routes = routes;
+        this.allowances = allowances;
     }
 
     @Override
@@ -91,6 +97,10 @@
             reply.send(new ControlMessages.Acknowledge(true));
         } else if (message instanceof ControlMessages.RouteTableRequest) {
             reply.send(routes.answer());
+        } else if (message instanceof AllowanceMessages.TokensRequest request) {
+            reply.send(allowances.answer(request));
+        } else if (message instanceof AllowanceMessages.ClaimRequest request) {
+            reply.send(allowances.answer(request));
         } else if (message instanceof ControlMessages.ConnectionCheck) {
             reply.send(new ControlMessages.Acknowledge(true));
         } else {
--- a/node/src/main/java/org/anvillatch/node/peer/MessageKind.java
+++ b/node/src/main/java/org/anvillatch/node/peer/MessageKind.java
@@ -53,7 +53,15 @@
     /** Answers with the route table. */
     ROUTE_TABLE_ANSWER(20, ControlMessages.RouteTableAnswer.class),
     /** Checks whether a connection still carries frames. */
-    CONNECTION_CHECK(21, ControlMessages.ConnectionCheck.class);
+    CONNECTION_CHECK(21, ControlMessages.ConnectionCheck.class),
+    /** Asks the owner of slots of allowances for tokens. */
+    TOKENS_REQUEST(22, AllowanceMessages.TokensRequest.class),
+    /** Answers a request for tokens. */
+    TOKENS_ANSWER(23, AllowanceMessages.TokensAnswer.class),
+    /** Claims slots of allowances. */
+    CLAIM_REQUEST(24, AllowanceMessages.ClaimRequest.class),
+    /** Answers a claim of slots. */
+    CLAIM_ANSWER(25, AllowanceMessages.ClaimAnswer.class);
 
     private static final MessageKind[] BY_CODE = new MessageKind[values().length + 1];
     private static final Map<Class<?>, MessageKind> BY_TYPE = new HashMap<>();
--- /dev/null
+++ b/node/src/main/java/org/anvillatch/node/team/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Admission of root requests against the allowances of their teams.
+ */
+package org.anvillatch.node.team;
