--- a/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
+++ b/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
@@ -1,6 +1,7 @@
 package org.anvillatch.node.peer;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -61,6 +62,7 @@
                 pack(packer, message.head().headers());
             }
             pack(packer, message.notice());
+            packer.packString(context.team()).packString(context.keyId());
             return packer.toByteArray();
         }
     }
@@ -70,16 +72,12 @@
             String root = unpacker.unpackString();
             int attempt = unpacker.unpackInt();
             String path = unpacker.unpackString();
-            CallContext context = new CallContext(
-                    root,
-                    attempt,
-                    path.isEmpty() ? root : path,
-                    unpacker.unpackInt(),
-                    unpacker.unpackBoolean(),
-                    unpacker.unpackString());
+            int rank = unpacker.unpackInt();
+            boolean atMostOnce = unpacker.unpackBoolean();
+            String traceparent = unpacker.unpackString();
             OperationName operation = new OperationName(unpacker.unpackString(), unpacker.unpackString());
             boolean idempotent = unpacker.unpackBoolean();
-            CallBody body = unpackBody(unpacker);
+            CallBody body = unpackBody(unpacker, bytes.length);
             String fingerprint = unpacker.unpackString();
             long remainingMicros = unpacker.unpackLong();
             int retries = unpacker.unpackInt();
@@ -87,16 +85,20 @@
             if (!unpacker.tryUnpackNil()) {
                 head = new RequestHead(unpacker.unpackString(), unpacker.unpackString(), unpackHeaders(unpacker));
             }
+            EndpointNotice notice = unpackNotice(unpacker);
+            // Earlier versions of a node send neither the team nor the id of the key.
+            boolean namesTeam = unpacker.hasNext();
+            CallContext context = new CallContext(
+                    root,
+                    attempt,
+                    path.isEmpty() ? root : path,
+                    rank,
+                    atMostOnce,
+                    traceparent,
+                    namesTeam ? unpacker.unpackString() : "",
+                    namesTeam ? unpacker.unpackString() : "");
             return new DispatchMessage(
-                    context,
-                    operation,
-                    idempotent,
-                    body,
-                    fingerprint,
-                    remainingMicros,
-                    retries,
-                    head,
-                    unpackNotice(unpacker));
+                    context, operation, idempotent, body, fingerprint, remainingMicros, retries, head, notice);
         }
     }
 
@@ -129,7 +131,7 @@
             Outcome outcome = unpackEnum(unpacker, Outcome.values());
             RefusalReason reason = unpackEnum(unpacker, RefusalReason.values());
             int status = unpacker.unpackInt();
-            CallBody body = unpackBody(unpacker);
+            CallBody body = unpackBody(unpacker, bytes.length);
             int unspentRetries = unpacker.unpackInt();
             int level = unpacker.unpackInt();
             int inFlight = unpacker.unpackInt();
@@ -163,15 +165,18 @@
     }
 
     private static void pack(MessageBufferPacker packer, CallBody body) throws IOException {
-        packer.packString(body.contentType()).packBinaryHeader(body.content().length);
-        packer.writePayload(body.content());
+        packer.packString(body.contentType()).packBinaryHeader(body.length());
+        for (ByteBuffer segment : body.segments()) {
+            packer.writePayload(segment.array(), segment.arrayOffset() + segment.position(), segment.remaining());
+        }
     }
 
-    private static CallBody unpackBody(MessageUnpacker unpacker) throws IOException {
+    private static CallBody unpackBody(MessageUnpacker unpacker, int messageLength) throws IOException {
         String contentType = unpacker.unpackString();
         int length = unpacker.unpackBinaryHeader();
-        if (length > FrameCodec.MAX_FRAME_BYTES) {
-            throw new IOException("body of " + length + " bytes exceeds the maximum frame size");
+        // Checked before the body is allocated: the length may be any number.
+        if (length > messageLength) {
+            throw new IOException("body of " + length + " bytes in a message of " + messageLength + " bytes");
         }
         return new CallBody(contentType, unpacker.readPayload(length));
     }
@@ -186,7 +191,7 @@
         }
     }
 
-    /** Unpacks the last component of a message, which earlier versions of a node do not send. */
+    /** Unpacks a component of a message that earlier versions of a node do not send. */
     private static EndpointNotice unpackNotice(MessageUnpacker unpacker) throws IOException {
         if (!unpacker.hasNext() || unpacker.tryUnpackNil()) {
             return null;
--- a/node/src/main/java/org/anvillatch/node/peer/MessageKind.java
+++ b/node/src/main/java/org/anvillatch/node/peer/MessageKind.java
@@ -54,14 +54,22 @@
     ROUTE_TABLE_ANSWER(20, ControlMessages.RouteTableAnswer.class),
     /** Checks whether a connection still carries frames. */
     CONNECTION_CHECK(21, ControlMessages.ConnectionCheck.class),
+    /** Begins the transfer of a message with a large body. */
+    TRANSFER_START(22, TransferMessages.Start.class),
+    /** Permits the sender of a transfer to send further bytes. */
+    TRANSFER_GRANT(23, TransferMessages.Grant.class),
+    /** Carries bytes of a large body. */
+    TRANSFER_DATA(24, TransferMessages.Data.class),
+    /** Ends a transfer before its last byte. */
+    TRANSFER_END(25, TransferMessages.End.class),
     /** Asks the owner of slots of allowances for tokens. */
-    TOKENS_REQUEST(22, AllowanceMessages.TokensRequest.class),
+    TOKENS_REQUEST(26, AllowanceMessages.TokensRequest.class),
     /** Answers a request for tokens. */
-    TOKENS_ANSWER(23, AllowanceMessages.TokensAnswer.class),
+    TOKENS_ANSWER(27, AllowanceMessages.TokensAnswer.class),
     /** Claims slots of allowances. */
-    CLAIM_REQUEST(24, AllowanceMessages.ClaimRequest.class),
+    CLAIM_REQUEST(28, AllowanceMessages.ClaimRequest.class),
     /** Answers a claim of slots. */
-    CLAIM_ANSWER(25, AllowanceMessages.ClaimAnswer.class);
+    CLAIM_ANSWER(29, AllowanceMessages.ClaimAnswer.class);
 
     private static final MessageKind[] BY_CODE = new MessageKind[values().length + 1];
     private static final Map<Class<?>, MessageKind> BY_TYPE = new HashMap<>();
--- a/node/src/main/java/org/anvillatch/node/team/TeamAllowanceService.java
+++ b/node/src/main/java/org/anvillatch/node/team/TeamAllowanceService.java
@@ -21,6 +21,7 @@
 import org.anvillatch.decision.membership.Member;
 import org.anvillatch.decision.membership.MemberStatus;
 import org.anvillatch.decision.membership.Membership;
+import org.anvillatch.decision.team.Team;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
 import org.anvillatch.node.peer.AllowanceMessages;
@@ -112,12 +113,20 @@
         metrics.register(name, (Gauge<Long>) () -> count.applyAsLong(agent.counts()));
     }
 
+    /** Applies the allowances of the current teams. */
+    public void teamsChanged() {
+        update(state.routes().teams().all().stream()
+                .filter(Team::hasAllowance)
+                .map(team -> new Allowance(team.name(), team.ratePerSecond(), team.burst()))
+                .toList());
+    }
+
     /**
      * Applies the allowances of a configuration.
      *
      * @param allowances allowances of all teams that have one
      */
-    public void update(Collection<Allowance> allowances) {
+    void update(Collection<Allowance> allowances) {
         if (agent.isActive() || !allowances.isEmpty()) {
             LOG.info("allowances teams={}", allowances.size());
             updateHosts();
