--- a/node/src/main/java/org/anvillatch/node/peer/MessageKind.java
+++ b/node/src/main/java/org/anvillatch/node/peer/MessageKind.java
@@ -62,6 +62,14 @@
     TRANSFER_DATA(24, TransferMessages.Data.class),
     /** Ends a transfer before its last byte. */
     TRANSFER_END(25, TransferMessages.End.class),
+    /** Asks the owner of slots of allowances for tokens. */
+    TOKENS_REQUEST(26, AllowanceMessages.TokensRequest.class),
+    /** Answers a request for tokens. */
+    TOKENS_ANSWER(27, AllowanceMessages.TokensAnswer.class),
+    /** Claims slots of allowances. */
+    CLAIM_REQUEST(28, AllowanceMessages.ClaimRequest.class),
+    /** Answers a claim of slots. */
+    CLAIM_ANSWER(29, AllowanceMessages.ClaimAnswer.class),
     /** Tells a witness which processes of an endpoint are leaving. */
     LEAVING_NOTICE(30, ControlMessages.LeavingNotice.class),
     /** Asks a witness which processes of an endpoint are leaving. */
