--- a/decision/src/test/java/org/anvillatch/decision/routing/ActiveRoutesTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/routing/ActiveRoutesTest.java
@@ -23,7 +23,7 @@
     }
 
     private static RouteTable table(long version, RequestRoute... routes) {
-        return new RouteTable(version, List.of(routes), Map.of(), new RequestLimits(1, 1, 1));
+        return new RouteTable(version, List.of(routes), Map.of(), new RequestLimits(1, 1, 1, 1));
     }
 
     private static WeightedService service(String name, int weight) {
@@ -61,7 +61,7 @@
     }
 
     private static RouteTable tableWithTeams(long version, List<Team> teams) {
-        return new RouteTable(version, List.of(), Map.of(), new RequestLimits(1, 1, 1), teams);
+        return new RouteTable(version, List.of(), Map.of(), new RequestLimits(1, 1, 1, 1), teams);
     }
 
     /** Guards against a host of an earlier version, which forwards tables without their teams, that disables the keys. */
@@ -82,10 +82,13 @@
         RequestRoute low = new RequestRoute("low", "h", "/", List.of(service("a", 1)), true, 1, 1, 2, 1, false);
         RequestRoute high = new RequestRoute("high", "h", "/h/", List.of(service("a", 1)), true, 1, 1, 9, 1, false);
         List<Team> teams = List.of(new Team("gold", 15, 0, 0, List.of()), new Team("iron", 3, 0, 0, List.of()));
-        routes.updateIfNewer(new RouteTable(1, List.of(low, high), Map.of(), new RequestLimits(1, 1, 1), teams));
-        assertThat(routes.importanceOf("iron", high)).isGreaterThan(routes.importanceOf("iron", low));
-        assertThat(routes.importanceOf("gold", low)).isGreaterThan(routes.importanceOf("iron", high));
-        assertThat(routes.importanceOf("gold", high)).isGreaterThan(routes.importanceOf("gold", low));
+        routes.updateIfNewer(new RouteTable(1, List.of(low, high), Map.of(), new RequestLimits(1, 1, 1, 1), teams));
+        assertThat(routes.importanceOf("iron", high.importance()))
+                .isGreaterThan(routes.importanceOf("iron", low.importance()));
+        assertThat(routes.importanceOf("gold", low.importance()))
+                .isGreaterThan(routes.importanceOf("iron", high.importance()));
+        assertThat(routes.importanceOf("gold", high.importance()))
+                .isGreaterThan(routes.importanceOf("gold", low.importance()));
         assertThat(routes.importancesInUse()).hasSize(4);
     }
 
--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -4,10 +4,12 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.stream.Collectors;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import org.anvillatch.decision.admission.Gatekeeper;
+import org.anvillatch.decision.configuration.Configuration;
 import org.anvillatch.decision.configuration.ConfigurationReducer;
 import org.anvillatch.decision.drain.EndpointPhase;
 import org.anvillatch.decision.idempotency.IdempotencyLedger;
@@ -31,8 +33,10 @@
 import org.anvillatch.node.decisionlog.DecisionLog;
 import org.anvillatch.node.endpoint.EndpointClient;
 import org.anvillatch.node.endpoint.EndpointHandler;
+import org.anvillatch.node.listener.ConnectionGuard;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
+import org.anvillatch.node.membership.LeavingWitnesses;
 import org.anvillatch.node.membership.MembershipService;
 import org.anvillatch.node.memory.MemoryBudget;
 import org.anvillatch.node.operator.ChangeCommand;
@@ -45,6 +49,7 @@
 import org.anvillatch.node.platform.HttpPlatformLog;
 import org.anvillatch.node.routes.RouteTableService;
 import org.anvillatch.node.settings.NodeSettings;
+import org.anvillatch.node.team.TeamAllowanceService;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.slf4j.Logger;
@@ -80,6 +85,7 @@
     private final EndpointHandler endpointHandler;
     private final MembershipService membershipService;
     private final ConfigurationService configurationService;
+    private final TeamAllowanceService allowances;
     private volatile String processState = "starting";
     private long lastTickMicros;
 
@@ -124,19 +130,28 @@
         Readiness readiness =
                 new Readiness(loop, scheduler, () -> "serving".equals(processState) && budget.hasRoomForRequests());
         CommandHandler commands = new CommandHandler(loop, state, changes, questions, keys, metrics, readiness);
+        allowances = new TeamAllowanceService(loop, state, peers::send, metrics);
         PeerRequestHandler commonHandler = new PeerRequestHandler(
-                loop, state, gatekeeperService, membershipService, new RouteTableService(loop, state, peers));
+                loop,
+                state,
+                gatekeeperService,
+                membershipService,
+                new RouteTableService(loop, state, peers),
+                new LeavingWitnesses(loop, state, peers, membershipService, metrics),
+                allowances);
         NodePeerHandler peerHandler = new NodePeerHandler(
                 loop,
                 new NodePeerHandler.Services(
                         commonHandler, idempotencyService, configurationService, questions, this::status));
+        ConnectionGuard guard = new ConnectionGuard(scheduler, budget, metrics);
         NodeServer server = new NodeServer(
                 settings,
                 threads,
                 scheduler,
+                guard,
                 new NodeServer.Handlers(callHandler, new KeyHandler(loop, state), endpointHandler, commands),
                 new PeerServer(threads, peerHandler, budget, metrics));
-        services = List.of(loop, log, nodeThreads, peers, endpointClient, platform, server);
+        services = List.of(loop, log, nodeThreads, guard, peers, endpointClient, platform, server);
         registerMetrics();
     }
 
@@ -207,6 +222,7 @@
         loop.scheduleRepeatedly(TICK_PERIOD_MICROS, this::tick);
         loop.scheduleRepeatedly(MembershipService.TICK_PERIOD_MICROS, membershipService::tick);
         loop.scheduleRepeatedly(MembershipService.TICK_PERIOD_MICROS, configurationService::tick);
+        loop.scheduleRepeatedly(TeamAllowanceService.TICK_PERIOD_MICROS, allowances::tick);
         loop.scheduleRepeatedly(MembershipService.TICK_PERIOD_MICROS, endpointHandler::checkHeartbeat);
         processState = "serving";
         LOG.info(
@@ -229,10 +245,26 @@
     }
 
     private void configurationChanged() {
+        applyTeams();
         state.suspects().release(state.configuration().current().released());
         gatekeeperService.endpointState().applyDrain();
     }
 
+    private void applyTeams() {
+        Configuration current = state.configuration().current();
+        state.routes()
+                .replaceTeams(
+                        current.teamList(),
+                        current.operations().values().stream()
+                                .map(current::importance)
+                                .collect(Collectors.toSet()));
+        callHandler.teamAdmission().teamsChanged();
+        int refused = gatekeeperService.refuseRevoked();
+        if (refused > 0) {
+            LOG.info("queued requests of revoked keys refused={}", refused);
+        }
+    }
+
     private HostStatus status() {
         Member self = state.membership().self();
         return new HostStatus(
--- a/node/src/main/java/org/anvillatch/node/call/CallRouter.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallRouter.java
@@ -52,7 +52,7 @@
     private final MetricRegistry metrics;
     private final Supplier<RetryTokenBucket> newRetryBucket;
     private final Map<String, RetryTokenBucket> retryBuckets = new HashMap<>();
-    private int inFlight;
+    private final Set<RoutedCall> openCalls = new HashSet<>();
 
     /**
      * Creates a router.
@@ -91,7 +91,7 @@
      */
     public RoutedCall route(Call call, Consumer<CallAnswer> reply) {
         RoutedCall routedCall = new RoutedCall(call, reply);
-        inFlight++;
+        openCalls.add(routedCall);
         try {
             retryBucket(call).recordFirstAttempt();
             routedCall.dispatchToNextHost();
@@ -112,7 +112,17 @@
      * @return 0 or more
      */
     public int inFlight() {
-        return inFlight;
+        return openCalls.size();
+    }
+
+    /** Cancels all calls; each is still answered. */
+    public void cancelAll() {
+        List.copyOf(openCalls).forEach(RoutedCall::cancel);
+    }
+
+    /** Answers all calls that are not answered yet, because this node stops; their outcome is unknown. */
+    public void abandonAll() {
+        List.copyOf(openCalls).forEach(RoutedCall::answerAtStop);
     }
 
     /** A call that is being routed. Owned by the decision loop. */
@@ -159,11 +169,20 @@
             if (!completed) {
                 completed = true;
                 abandoned = true;
-                inFlight--;
+                openCalls.remove(this);
                 cancelDispatch.run();
             }
         }
 
+        /** Answers a call that has no answer yet when this node stops. */
+        private void answerAtStop() {
+            if (!completed) {
+                abandon();
+                String host = state.membership().self().host().name();
+                reply.accept(CallAnswer.unknown("host " + host + " stops before the answer arrived", host, List.of()));
+            }
+        }
+
         /** Handles a result of a dispatch; a call that fails here is answered, since its dispatch may have run. */
         private void handleResult(Runnable handling) {
             if (abandoned) {
@@ -245,9 +264,12 @@
         }
 
         private void dispatchLocally(Member host, DispatchMessage message) {
+            Runnable before = cancelDispatch;
             long execution =
                     gatekeeperService.dispatch(message, answer -> handleResult(() -> handleAnswer(host, answer)));
-            cancelDispatch = () -> gatekeeperService.cancel(execution);
+            if (cancelDispatch == before) {
+                cancelDispatch = () -> gatekeeperService.cancel(execution);
+            }
         }
 
         private void dispatchToPeer(Member host, DispatchMessage message, long timeoutMicros) {
@@ -392,7 +414,7 @@
                 throw new IllegalStateException("call " + call.context().path() + " was already answered");
             }
             completed = true;
-            inFlight--;
+            openCalls.remove(this);
             metrics.counter("calls.outcome." + answer.outcome().wireName()).inc();
             reply.accept(answer);
         }
