Grant retries by call tree while a service rejects a part of its requests

Cause: at two rejections in five, a tree of eight calls needs 5.3 retries, and senders spent their tokens on whichever call was rejected next, so nearly every tree ran and failed.

Change: the gatekeepers of the rejecting service keep the account of its retry bound and grant retries to the most important and furthest advanced trees; root requests whose trees would probably fail are refused before they run.

--- a/decision/src/main/java/org/anvillatch/decision/model/RefusalReason.java
+++ b/decision/src/main/java/org/anvillatch/decision/model/RefusalReason.java
@@ -27,7 +27,9 @@
     /** The idempotency key could not be claimed, so the request was not run. */
     CLAIM_UNAVAILABLE(503, true, false),
     /** The caller or the parent call cancelled the request. */
-    CANCELLED(499, false, false);
+    CANCELLED(499, false, false),
+    /** A called service rejects so many requests that the call tree would probably fail. */
+    PARTIAL_REJECTION(503, true, false);
 
     private final int status;
     private final boolean retryAfter;
--- a/node/src/main/java/org/anvillatch/node/call/CallAnswer.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallAnswer.java
@@ -6,6 +6,7 @@
 import org.anvillatch.decision.model.Outcome;
 import org.anvillatch.decision.model.RefusalReason;
 import org.anvillatch.decision.quarantine.CrashSuspects;
+import org.anvillatch.decision.rejection.ServiceRejection;
 import org.anvillatch.node.peer.PeerMessage;
 
 /**
@@ -45,6 +46,8 @@
      * @param queuedMicros time that the call and its nested calls were queued for slots
      * @param endpointFault whether the endpoint itself failed the call, without having made any nested call
      * @param notice restriction that the endpoint names, null if it names none
+     * @param rejections services that reject requests and that an execution of the operation calls, including its own
+     * @param retryGranted whether the sender may retry a rejected call at no cost of its own
      */
     public record LoadReport(
             int level,
@@ -52,7 +55,9 @@
             long durationMicros,
             long queuedMicros,
             boolean endpointFault,
-            EndpointNotice notice) {
+            EndpointNotice notice,
+            List<ServiceRejection> rejections,
+            boolean retryGranted) {
         /** Report without any information. */
         public static final LoadReport NONE = new LoadReport(0, 0, 0, 0);
 
@@ -67,6 +72,38 @@
         public LoadReport(int level, int inFlight, long durationMicros, long queuedMicros) {
             this(level, inFlight, durationMicros, queuedMicros, false, null);
         }
+
+        /**
+         * Creates a report that names no rejecting service.
+         *
+         * @param level lowest rank admitted for the operation
+         * @param inFlight number of executions that are running or queued
+         * @param durationMicros duration of the execution, 0 if it did not run
+         * @param queuedMicros time that the call and its nested calls were queued for slots
+         * @param endpointFault whether the endpoint itself failed the call, without having made any nested call
+         * @param notice restriction that the endpoint names, null if it names none
+         */
+        public LoadReport(
+                int level,
+                int inFlight,
+                long durationMicros,
+                long queuedMicros,
+                boolean endpointFault,
+                EndpointNotice notice) {
+            this(level, inFlight, durationMicros, queuedMicros, endpointFault, notice, List.of(), false);
+        }
+
+        /**
+         * Returns a copy of this report with the rejecting services.
+         *
+         * @param services services that reject requests
+         * @param granted whether the sender may retry a rejected call at no cost of its own
+         * @return the copy
+         */
+        public LoadReport withRejections(List<ServiceRejection> services, boolean granted) {
+            return new LoadReport(
+                    level, inFlight, durationMicros, queuedMicros, endpointFault, notice, services, granted);
+        }
     }
 
     /**
--- a/node/src/main/java/org/anvillatch/node/call/CallRouter.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallRouter.java
@@ -13,6 +13,8 @@
 import org.anvillatch.decision.model.Outcome;
 import org.anvillatch.decision.model.Rank;
 import org.anvillatch.decision.model.RefusalReason;
+import org.anvillatch.decision.rejection.CallProgress;
+import org.anvillatch.decision.rejection.CallStart;
 import org.anvillatch.decision.retry.RetryBudget;
 import org.anvillatch.decision.retry.RetryTokenBucket;
 import org.anvillatch.decision.routing.EndpointSelector;
@@ -121,10 +123,14 @@
         private int overloadRefusals;
         private RefusalReason lastRefusal;
         private CallAnswer possiblyExecuted;
+        private final GatekeeperService.Execution parent;
+        private CallStart nextStart = CallStart.FIRST;
+        private boolean chosen;
         private boolean cancelled;
         private boolean completed;
 
         private RoutedCall(Call call, Consumer<CallAnswer> reply) {
+            this.parent = gatekeeperService.findParent(call.context());
             this.call = call;
             this.reply = reply;
             this.budget = new RetryBudget(call.retries());
@@ -197,7 +203,8 @@
                     remaining,
                     budget.takeShare(),
                     call.head(),
-                    state.selector().noticeOf(host.host().name()));
+                    state.selector().noticeOf(host.host().name()),
+                    progress());
             state.selector().recordSent(host);
             if (host.host().equals(state.membership().self().host())) {
                 dispatchLocally(host, message);
@@ -206,6 +213,12 @@
             }
         }
 
+        private CallProgress progress() {
+            return parent == null
+                    ? new CallProgress(nextStart, 0, chosen)
+                    : new CallProgress(nextStart, parent.completedCalls(), chosen || parent.isChosen());
+        }
+
         private void dispatchLocally(Member host, DispatchMessage message) {
             long execution = gatekeeperService.dispatch(message, answer -> handleAnswer(host, answer));
             cancelDispatch = () -> gatekeeperService.cancel(execution);
@@ -244,6 +257,9 @@
             }
             answer.suspicions().forEach(state.suspects()::add);
             budget.returnUnspent(answer.unspentRetries());
+            if (parent != null) {
+                gatekeeperService.rejections().recordReport(call.operation(), load.rejections());
+            }
             retryOrComplete(host, answer);
         }
 
@@ -264,7 +280,9 @@
             if (answer.outcome().mayHaveRun()) {
                 possiblyExecuted = answer;
             }
-            if (mayRetry(answer) && !exceedsOverloadReroutes(answer) && (tryFreeReroute(answer) || tryUseRetry())) {
+            if (mayRetry(answer)
+                    && !exceedsOverloadReroutes(answer)
+                    && (tryFreeReroute(answer) || tryUseRetry(answer))) {
                 lastRefusal = answer.reason();
                 triedHosts.add(host.host().name());
                 dispatchToNextHost();
@@ -297,11 +315,28 @@
             return true;
         }
 
-        private boolean tryUseRetry() {
-            if (budget.remaining() == 0 || !retryBucket(call).trySpend()) {
+        /**
+         * Uses a retry, if allowed: one that the gatekeeper granted, or a token of this host unless the gatekeepers of the
+         * service grant its retries.
+         */
+        private boolean tryUseRetry(CallAnswer answer) {
+            boolean granted = answer.report().retryGranted();
+            boolean grantsOnly = answer.reason() == RefusalReason.ENDPOINT_REJECTED
+                    && answer.report().rejections().stream()
+                            .anyMatch(rejection ->
+                                    rejection.service().equals(call.operation().service()));
+            if (budget.remaining() == 0
+                    || !granted && (grantsOnly || !retryBucket(call).trySpend())) {
                 return false;
             }
             budget.spend();
+            if (granted) {
+                chosen = true;
+                if (parent != null) {
+                    parent.choose();
+                }
+            }
+            nextStart = granted ? CallStart.GRANTED_RETRY : CallStart.RETRY;
             metrics.counter("calls.retries").inc();
             return true;
         }
--- a/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
+++ b/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
@@ -24,6 +24,8 @@
 import org.anvillatch.decision.model.Outcome;
 import org.anvillatch.decision.model.RefusalReason;
 import org.anvillatch.decision.quarantine.CrashSuspects;
+import org.anvillatch.decision.rejection.DownstreamRejections;
+import org.anvillatch.decision.rejection.RetryGrants;
 import org.anvillatch.decision.retry.RetryBudget;
 import org.anvillatch.node.decisionlog.Decision;
 import org.anvillatch.node.endpoint.EndpointAnnouncement;
@@ -82,6 +84,7 @@
     private final CrashSignal crashSignal;
     private final Deque<LostExecution> lostExecutions = new ArrayDeque<>();
     private Consumer<List<CrashSuspects.Suspicion>> crashListener = suspicions -> {};
+    private final PartialRejections rejections;
     private Runnable endpointListener = () -> {};
     private EndpointAnnouncement endpoint;
     private EndpointNotice notice = EndpointNotice.unrestricted("");
@@ -120,6 +123,16 @@
         this.client = client;
         this.decisions = decisions;
         this.metrics = metrics;
+        this.rejections = new PartialRejections(loop, state, metrics);
+    }
+
+    /**
+     * Returns the decisions about services that reject a part of their requests.
+     *
+     * @return the decisions, owned by the loop
+     */
+    public PartialRejections rejections() {
+        return rejections;
     }
 
     /**
@@ -159,6 +172,10 @@
         private int nextCallNumber;
         private NestedCallStats nestedStats = NestedCallStats.NONE;
         private boolean nestedFailed;
+        private final Map<OperationName, Integer> callsMade = new HashMap<>();
+        private int completedCalls;
+        private boolean chosen;
+        private EndpointTransport.EndpointAnswer heldAnswer;
 
         private Execution(long number, DispatchMessage message, Consumer<CallAnswer> reply, long nowMicros) {
             this.number = number;
@@ -224,6 +241,29 @@
             return nestedStats.called() || !nestedCalls.isEmpty();
         }
 
+        /**
+         * Returns the number of nested calls that are complete.
+         *
+         * @return 0 or more
+         */
+        public int completedCalls() {
+            return completedCalls;
+        }
+
+        /**
+         * Returns whether rejected calls of the call tree are retried until it completes.
+         *
+         * @return true if the tree was chosen
+         */
+        public boolean isChosen() {
+            return chosen;
+        }
+
+        /** Records that a retry was granted to a call of this execution. */
+        public void choose() {
+            chosen = true;
+        }
+
         /**
          * Returns the identity of this execution that is sent to the endpoint.
          *
@@ -251,6 +291,11 @@
             refuse(execution, RefusalReason.NO_ENDPOINT, 0);
         } else if (state.isQuarantined(message.fingerprint())) {
             refuse(execution, RefusalReason.QUARANTINED, 0);
+        } else if (!admitDespiteRejections(execution)) {
+            refuse(
+                    execution,
+                    RefusalReason.PARTIAL_REJECTION,
+                    state.gatekeeper().shedLevelFor(message.operation(), now));
         } else {
             Work work = new Work(
                     number,
@@ -263,6 +308,12 @@
         return number;
     }
 
+    private boolean admitDespiteRejections(Execution execution) {
+        DownstreamRejections.Admission admission = rejections.admit(execution.message);
+        execution.chosen = execution.message.progress().chosen() || admission == DownstreamRejections.Admission.CHOSEN;
+        return admission != DownstreamRejections.Admission.REFUSED;
+    }
+
     /**
      * Returns whether a dispatch is not answered yet.
      *
@@ -285,7 +336,10 @@
         }
         List<CallRouter.RoutedCall> nestedCalls = List.copyOf(execution.nestedCalls);
         nestedCalls.forEach(CallRouter.RoutedCall::cancel);
-        if (execution.started) {
+        if (execution.heldAnswer != null) {
+            rejections.cancel(number);
+            answerHeld(execution, false);
+        } else if (execution.started) {
             execution.abort.run();
         } else {
             perform(state.gatekeeper().cancel(number, loop.nowMicros()));
@@ -299,10 +353,11 @@
     private void tick() {
         tickScheduled = false;
         perform(state.gatekeeper().tick(loop.nowMicros()));
+        releaseHeld();
     }
 
     private void scheduleTick() {
-        if (!tickScheduled && state.gatekeeper().needsTick()) {
+        if (!tickScheduled && (state.gatekeeper().needsTick() || rejections.isHolding())) {
             tickScheduled = true;
             loop.schedule(TICK_PERIOD_MICROS, this::tick);
         }
@@ -408,7 +463,8 @@
         int slash = name.lastIndexOf('/');
         try {
             Execution execution = executions.get(Long.parseLong(name.substring(slash + 1)));
-            return execution != null && execution.started && execution.name().equals(name) ? execution : null;
+            boolean running = execution != null && execution.started && execution.heldAnswer == null;
+            return running && execution.name().equals(name) ? execution : null;
         } catch (NumberFormatException notANumber) {
             return null;
         }
@@ -424,6 +480,17 @@
         return startedByCallPath.get(path);
     }
 
+    /**
+     * Finds the execution that made a nested call whose path is that of its parent, a dot and a suffix.
+     *
+     * @param context identity of the call
+     * @return the execution, or null if this host's endpoint runs none
+     */
+    Execution findParent(CallContext context) {
+        int dot = context.path().lastIndexOf('.');
+        return context.isNested() && dot > 0 ? findByCallPath(context.path().substring(0, dot)) : null;
+    }
+
     private void perform(List<AdmissionAction> actions) {
         for (AdmissionAction action : actions) {
             Execution execution = executions.get(action.execution());
@@ -443,6 +510,7 @@
         startedByCallPath.put(execution.message.context().path(), execution);
         record(execution, "start", "", 0);
         metrics.counter("gatekeeper.started").inc();
+        rejections.recordStart(execution.message);
         execution.abort = client.send(
                 endpoint,
                 execution.name(),
@@ -469,7 +537,6 @@
     }
 
     private void completeExecution(Execution execution, EndpointTransport.EndpointAnswer answer) {
-        executions.remove(execution.number);
         startedByCallPath.remove(execution.message.context().path(), execution);
         long now = loop.nowMicros();
         applyNotice(answer.notice(), now);
@@ -491,9 +558,38 @@
         } else if (answer.result() == EndpointTransport.ExchangeResult.ANSWERED) {
             recordAnswered(execution.message.fingerprint());
         }
-        execution.reply.accept(toCallAnswer(execution, answer, durationMicros, suspicions));
-        perform(next);
         updateHealth();
+        if (rejections.recordEnd(execution.number, execution.message, answer, execution.deadlineMicros)) {
+            execution.heldAnswer = answer;
+            scheduleTick();
+        } else {
+            executions.remove(execution.number);
+            CallAnswer callAnswer = toCallAnswer(execution, answer, durationMicros, suspicions);
+            if (callAnswer.outcome() == Outcome.COMPLETE) {
+                rejections.recordComplete(execution.message.operation(), execution.callsMade);
+            }
+            execution.reply.accept(withRejections(execution, callAnswer, false));
+        }
+        perform(next);
+        releaseHeld();
+    }
+
+    /** Answers rejected calls that were held, for which there is now a retry or whose time is over. */
+    private void releaseHeld() {
+        for (RetryGrants.Release release : rejections.release()) {
+            answerHeld(executions.get(release.execution()), release.granted());
+        }
+    }
+
+    private void answerHeld(Execution execution, boolean granted) {
+        executions.remove(execution.number);
+        CallAnswer answer = toCallAnswer(execution, execution.heldAnswer, 0, List.of());
+        execution.reply.accept(withRejections(execution, answer, granted));
+    }
+
+    private CallAnswer withRejections(Execution execution, CallAnswer answer, boolean granted) {
+        return answer.withReport(
+                answer.report().withRejections(rejections.reportFor(execution.message.operation()), granted));
     }
 
     /** Applies a notice in an answer of the endpoint; that of an earlier process and null are ignored. */
@@ -604,6 +700,8 @@
         parent.nestedStats = parent.nestedStats.plus(answer.report().queuedMicros(), refused);
         parent.nestedStats = parent.nestedStats.plusExecution(answer.report().durationMicros());
         parent.nestedFailed |= answer.outcome() != Outcome.COMPLETE;
+        parent.callsMade.merge(called, 1, Integer::sum);
+        parent.completedCalls += answer.outcome() == Outcome.COMPLETE ? 1 : 0;
         state.gatekeeper()
                 .recordDownstreamLevel(
                         parent.message.operation(), called, answer.report().level(), loop.nowMicros());
--- a/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
+++ b/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
@@ -9,6 +9,9 @@
 import org.anvillatch.decision.model.Outcome;
 import org.anvillatch.decision.model.RefusalReason;
 import org.anvillatch.decision.quarantine.CrashSuspects;
+import org.anvillatch.decision.rejection.CallProgress;
+import org.anvillatch.decision.rejection.CallStart;
+import org.anvillatch.decision.rejection.ServiceRejection;
 import org.anvillatch.node.call.CallAnswer;
 import org.anvillatch.node.call.CallBody;
 import org.anvillatch.node.call.CallContext;
@@ -61,6 +64,9 @@
                 pack(packer, message.head().headers());
             }
             pack(packer, message.notice());
+            packer.packInt(message.progress().start().ordinal())
+                    .packInt(message.progress().completedCalls())
+                    .packBoolean(message.progress().chosen());
             return packer.toByteArray();
         }
     }
@@ -96,7 +102,8 @@
                     remainingMicros,
                     retries,
                     head,
-                    unpackNotice(unpacker));
+                    unpackNotice(unpacker),
+                    unpackProgress(unpacker));
         }
     }
 
@@ -120,6 +127,7 @@
             }
             pack(packer, answer.headers());
             pack(packer, answer.report().notice());
+            packRejections(packer, answer.report());
             return packer.toByteArray();
         }
     }
@@ -145,8 +153,10 @@
                 suspicions.add(new CrashSuspects.Suspicion(unpacker.unpackString(), unpacker.unpackString()));
             }
             List<HeaderField> headers = unpackHeaders(unpacker);
-            CallAnswer.LoadReport report = new CallAnswer.LoadReport(
-                    level, inFlight, durationMicros, queuedMicros, endpointFault, unpackNotice(unpacker));
+            CallAnswer.LoadReport report = unpackRejections(
+                    unpacker,
+                    new CallAnswer.LoadReport(
+                            level, inFlight, durationMicros, queuedMicros, endpointFault, unpackNotice(unpacker)));
             return new CallAnswer(
                     outcome,
                     reason,
@@ -186,7 +196,7 @@
         }
     }
 
-    /** Unpacks the last component of a message, which earlier versions of a node do not send. */
+    /** Unpacks a component that earlier versions of a node do not send. */
     private static EndpointNotice unpackNotice(MessageUnpacker unpacker) throws IOException {
         if (!unpacker.hasNext() || unpacker.tryUnpackNil()) {
             return null;
@@ -194,6 +204,40 @@
         return new EndpointNotice(unpacker.unpackString(), unpacker.unpackDouble(), unpacker.unpackBoolean());
     }
 
+    private static CallProgress unpackProgress(MessageUnpacker unpacker) throws IOException {
+        if (!unpacker.hasNext()) {
+            return CallProgress.NONE;
+        }
+        return new CallProgress(
+                unpackEnum(unpacker, CallStart.values()), unpacker.unpackInt(), unpacker.unpackBoolean());
+    }
+
+    private static void packRejections(MessageBufferPacker packer, CallAnswer.LoadReport report) throws IOException {
+        packer.packBoolean(report.retryGranted())
+                .packArrayHeader(report.rejections().size());
+        for (ServiceRejection rejection : report.rejections()) {
+            packer.packString(rejection.service())
+                    .packDouble(rejection.ratio())
+                    .packInt(rejection.level())
+                    .packDouble(rejection.calls());
+        }
+    }
+
+    private static CallAnswer.LoadReport unpackRejections(MessageUnpacker unpacker, CallAnswer.LoadReport report)
+            throws IOException {
+        if (!unpacker.hasNext()) {
+            return report;
+        }
+        boolean granted = unpacker.unpackBoolean();
+        int count = unpacker.unpackArrayHeader();
+        List<ServiceRejection> rejections = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            rejections.add(new ServiceRejection(
+                    unpacker.unpackString(), unpacker.unpackDouble(), unpacker.unpackInt(), unpacker.unpackDouble()));
+        }
+        return report.withRejections(rejections, granted);
+    }
+
     private static void pack(MessageBufferPacker packer, List<HeaderField> headers) throws IOException {
         packer.packArrayHeader(headers.size());
         for (HeaderField field : headers) {
--- a/node/src/test/java/org/anvillatch/node/peer/FrameCodecTest.java
+++ b/node/src/test/java/org/anvillatch/node/peer/FrameCodecTest.java
@@ -19,6 +19,9 @@
 import org.anvillatch.decision.model.EndpointNotice;
 import org.anvillatch.decision.model.HostIdentity;
 import org.anvillatch.decision.model.OperationName;
+import org.anvillatch.decision.rejection.CallProgress;
+import org.anvillatch.decision.rejection.CallStart;
+import org.anvillatch.decision.rejection.ServiceRejection;
 import org.anvillatch.node.call.CallAnswer;
 import org.anvillatch.node.call.CallBody;
 import org.anvillatch.node.call.CallContext;
@@ -80,19 +83,22 @@
                 900_000,
                 2,
                 new RequestHead("GET", "/a/b?c=d", List.of(new HeaderField("Accept", "*/*"))),
-                new EndpointNotice("i@1", 24.5, true));
+                new EndpointNotice("i@1", 24.5, true),
+                new CallProgress(CallStart.GRANTED_RETRY, 3, true));
         DispatchMessage decoded = (DispatchMessage) encodeAndDecode(message);
         assertThat(decoded.context()).isEqualTo(message.context());
         assertThat(decoded.head()).isEqualTo(message.head());
         assertThat(decoded.notice()).isEqualTo(message.notice());
+        assertThat(decoded.progress()).isEqualTo(message.progress());
         assertThat(decoded.operation()).isEqualTo(message.operation());
         assertThat(decoded.body().content()).isEqualTo(message.body().content());
     }
 
     @Test
     void answerRoundTrips() throws FrameException {
-        CallAnswer.LoadReport report =
-                new CallAnswer.LoadReport(1, 2, 3, 4, true, new EndpointNotice("i@1", Double.POSITIVE_INFINITY, true));
+        CallAnswer.LoadReport report = new CallAnswer.LoadReport(
+                        1, 2, 3, 4, true, new EndpointNotice("i@1", Double.POSITIVE_INFINITY, true))
+                .withRejections(List.of(new ServiceRejection("desk", 0.4, 1_700, 8.5)), true);
         CallAnswer answer = CallAnswer.unknown("no answer", "host", List.of()).withReport(report);
         CallAnswer decoded = (CallAnswer) encodeAndDecode(answer);
         assertThat(decoded.outcome()).isEqualTo(answer.outcome());
@@ -104,8 +110,11 @@
     @Test
     void answerOfAnEarlierVersionNamesNoRestriction() throws IOException {
         byte[] bytes = CallCodec.encode(CallAnswer.unknown("no answer", "host", List.of()));
-        byte[] withoutNotice = Arrays.copyOf(bytes, bytes.length - 1);
-        assertThat(CallCodec.decodeAnswer(withoutNotice).report()).isEqualTo(CallAnswer.LoadReport.NONE);
+        // The notice, then the granted retry and the rejecting services, were appended in this order, a byte each.
+        for (int missing = 2; missing <= 3; missing++) {
+            byte[] earlier = Arrays.copyOf(bytes, bytes.length - missing);
+            assertThat(CallCodec.decodeAnswer(earlier).report()).isEqualTo(CallAnswer.LoadReport.NONE);
+        }
     }
 
     @Test
