--- a/node/src/main/java/org/anvillatch/node/call/CallRouter.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallRouter.java
@@ -94,8 +94,13 @@
     public RoutedCall route(Call call, Consumer<CallAnswer> reply) {
         RoutedCall routedCall = new RoutedCall(call, reply);
         inFlight++;
-        retryBucket(call).recordFirstAttempt();
-        routedCall.dispatchToNextHost();
+        try {
+            retryBucket(call).recordFirstAttempt();
+            routedCall.dispatchToNextHost();
+        } catch (RuntimeException | Error failure) {
+            routedCall.abandon();
+            throw failure;
+        }
         return routedCall;
     }
 
@@ -123,14 +128,17 @@
         private int overloadRefusals;
         private RefusalReason lastRefusal;
         private CallAnswer possiblyExecuted;
-        private final GatekeeperService.Execution parent;
+        private final TreeProgress parent;
         private CallStart nextStart = CallStart.FIRST;
         private boolean chosen;
         private boolean cancelled;
         private boolean completed;
 
+        /** Whether the call has failed in this process, so that later answers to its dispatches are ignored. */
+        private boolean abandoned;
+
         private RoutedCall(Call call, Consumer<CallAnswer> reply) {
-            this.parent = gatekeeperService.findParent(call.context());
+            this.parent = findParent(call.context());
             this.call = call;
             this.reply = reply;
             this.budget = new RetryBudget(call.retries());
@@ -152,6 +160,32 @@
             cancelDispatch.run();
         }
 
+        /** Ends a call whose routing failed in this process; its dispatch, if there is one, may still run. */
+        private void abandon() {
+            if (!completed) {
+                completed = true;
+                abandoned = true;
+                inFlight--;
+                cancelDispatch.run();
+            }
+        }
+
+        /** Handles a result of a dispatch; a call that fails here is answered, since its dispatch may have run. */
+        private void handleResult(Runnable handling) {
+            if (abandoned) {
+                return;
+            }
+            try {
+                handling.run();
+            } catch (RuntimeException | Error failure) {
+                if (!completed) {
+                    abandon();
+                    reply.accept(CallAnswer.unknown("the routing failed", "", List.of()));
+                }
+                throw failure;
+            }
+        }
+
         private void dispatchToNextHost() {
             long now = loop.nowMicros();
             RefusalReason refusal = refusalBeforeRouting(now);
@@ -213,6 +247,15 @@
             }
         }
 
+        /** Finds the execution that made a nested call: the path of the call is that of its parent, a dot and a suffix. */
+        private TreeProgress findParent(CallContext context) {
+            int dot = context.path().lastIndexOf('.');
+            GatekeeperService.Execution found = context.isNested() && dot > 0
+                    ? gatekeeperService.findByCallPath(context.path().substring(0, dot))
+                    : null;
+            return found == null ? null : found.tree();
+        }
+
         private CallProgress progress() {
             return parent == null
                     ? new CallProgress(nextStart, 0, chosen)
@@ -220,7 +263,8 @@
         }
 
         private void dispatchLocally(Member host, DispatchMessage message) {
-            long execution = gatekeeperService.dispatch(message, answer -> handleAnswer(host, answer));
+            long execution =
+                    gatekeeperService.dispatch(message, answer -> handleResult(() -> handleAnswer(host, answer)));
             cancelDispatch = () -> gatekeeperService.cancel(execution);
         }
 
@@ -230,7 +274,7 @@
                         @Override
                         public void answered(PeerMessage answer) {
                             if (answer instanceof CallAnswer callAnswer) {
-                                RoutedCall.this.handleAnswer(host, callAnswer);
+                                handleResult(() -> handleAnswer(host, callAnswer));
                             } else {
                                 failed(PeerClient.PeerFailure.NO_ANSWER);
                             }
@@ -238,7 +282,7 @@
 
                         @Override
                         public void failed(PeerClient.PeerFailure failure) {
-                            handleFailure(host, failure);
+                            handleResult(() -> handleFailure(host, failure));
                         }
                     });
             cancelDispatch = () -> peers.cancel(pending);
--- a/node/src/main/java/org/anvillatch/node/call/PartialRejections.java
+++ b/node/src/main/java/org/anvillatch/node/call/PartialRejections.java
@@ -86,18 +86,23 @@
         metrics.register("rejections.held", (Gauge<Integer>) grants::held);
     }
 
-    /** Decides whether work is admitted although services that it calls reject requests. */
-    DownstreamRejections.Admission admit(DispatchMessage message) {
+    /** Returns whether work is admitted although services that it calls reject requests, and records if it is chosen. */
+    boolean admit(DispatchMessage message, TreeProgress tree) {
+        if (message.progress().chosen()) {
+            tree.choose();
+        }
         if (message.context().isNested()) {
-            return DownstreamRejections.Admission.ADMITTED;
+            return true;
         }
         long now = loop.nowMicros();
         DownstreamRejections.Admission admission =
                 downstream.admit(message.operation(), message.context().rank(), now);
-        if (admission == DownstreamRejections.Admission.REFUSED) {
+        if (admission == DownstreamRejections.Admission.CHOSEN) {
+            tree.choose();
+        } else if (admission == DownstreamRejections.Admission.REFUSED) {
             logRefusal(message.operation(), now);
         }
-        return admission;
+        return admission != DownstreamRejections.Admission.REFUSED;
     }
 
     private void logRefusal(OperationName operation, long now) {
