--- a/decision/src/test/java/org/anvillatch/decision/rejection/PartialRejectionTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/rejection/PartialRejectionTest.java
@@ -54,7 +54,6 @@
         String figures =
                 "served %.3f, before %.3f, oracle %.3f, retries beyond the bound %.0f, refused after the end %d"
                         .formatted(served, before, oracle, excess, refusedAfterEnd);
-        System.out.println(scenario + ": " + figures);
         assertWithMessage(figures).that(served).isAtLeast(0.9 * oracle);
         assertWithMessage(figures).that(excess).isAtMost(0.0);
         assertWithMessage(figures).that(refusedAfterEnd).isLessThan(1_000_000L);
--- a/node/src/main/java/org/anvillatch/node/call/DispatchMessage.java
+++ b/node/src/main/java/org/anvillatch/node/call/DispatchMessage.java
@@ -31,40 +31,4 @@
         RequestHead head,
         EndpointNotice notice,
         CallProgress progress)
-        implements PeerMessage {
-    /**
-     * Creates the first dispatch of a call whose parent has completed no other call.
-     *
-     * @param context identity of the call within its root request
-     * @param operation operation to call
-     * @param idempotent whether the operation may be executed more than once
-     * @param body body of the request
-     * @param fingerprint hash of the operation and the body
-     * @param remainingMicros time left until the deadline, in microseconds
-     * @param retries maximum number of retries by nested calls
-     * @param head head of a request that is forwarded unchanged, or null
-     * @param notice restriction that the endpoint of the chosen host named in its latest answer, or null
-     */
-    public DispatchMessage(
-            CallContext context,
-            OperationName operation,
-            boolean idempotent,
-            CallBody body,
-            String fingerprint,
-            long remainingMicros,
-            int retries,
-            RequestHead head,
-            EndpointNotice notice) {
-        this(
-                context,
-                operation,
-                idempotent,
-                body,
-                fingerprint,
-                remainingMicros,
-                retries,
-                head,
-                notice,
-                CallProgress.NONE);
-    }
-}
+        implements PeerMessage {}
--- a/node/src/test/java/org/anvillatch/node/call/GatekeeperServiceTest.java
+++ b/node/src/test/java/org/anvillatch/node/call/GatekeeperServiceTest.java
@@ -11,6 +11,7 @@
 import org.anvillatch.decision.model.HostIdentity;
 import org.anvillatch.decision.model.OperationName;
 import org.anvillatch.decision.model.RefusalReason;
+import org.anvillatch.decision.rejection.CallProgress;
 import org.anvillatch.node.decisionlog.DecisionLog;
 import org.anvillatch.node.endpoint.EndpointAnnouncement;
 import org.anvillatch.node.endpoint.EndpointTransport;
@@ -86,7 +87,8 @@
                 10_000_000,
                 0,
                 null,
-                knownToSender);
+                knownToSender,
+                CallProgress.NONE);
         service.dispatch(message, answers::add);
     }
 
--- a/node/src/test/java/org/anvillatch/node/endpoint/EndpointClientTest.java
+++ b/node/src/test/java/org/anvillatch/node/endpoint/EndpointClientTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.anvillatch.decision.model.OperationName;
+import org.anvillatch.decision.rejection.CallProgress;
 import org.anvillatch.node.NodeThreads;
 import org.anvillatch.node.call.CallBody;
 import org.anvillatch.node.call.CallContext;
@@ -59,7 +60,8 @@
                 5_000_000,
                 0,
                 null,
-                null);
+                null,
+                CallProgress.NONE);
         CompletableFuture<EndpointAnswer> answer = new CompletableFuture<>();
         EndpointAnnouncement endpoint =
                 new EndpointAnnouncement("desk", "127.0.0.1:" + server.getLocalPort(), 1, 1, "i");
