--- a/decision/src/main/java/org/anvillatch/decision/model/RefusalReason.java
+++ b/decision/src/main/java/org/anvillatch/decision/model/RefusalReason.java
@@ -33,7 +33,9 @@
     /** The API key of the request was moved to another team before the request started. */
     TEAM_CHANGED(503, true, false),
     /** The team has used up its allowance. */
-    ALLOWANCE(429, true, false);
+    ALLOWANCE(429, true, false),
+    /** A called service rejects so many requests that the call tree would probably fail. */
+    PARTIAL_REJECTION(503, true, false);
 
     private final int status;
     private final boolean retryAfter;
--- a/node/src/main/java/org/anvillatch/node/call/DispatchMessage.java
+++ b/node/src/main/java/org/anvillatch/node/call/DispatchMessage.java
@@ -2,6 +2,7 @@
 
 import org.anvillatch.decision.model.EndpointNotice;
 import org.anvillatch.decision.model.OperationName;
+import org.anvillatch.decision.rejection.CallProgress;
 import org.anvillatch.node.peer.PeerMessage;
 
 /**
@@ -17,6 +18,7 @@
  * @param head head of a request that is forwarded unchanged, or null
  * @param notice restriction that the endpoint of the chosen host named in its latest answer to the sender, or null; it
  *     tells a restarted host what it has forgotten
+ * @param progress progress of the call tree, by which the gatekeeper grants retries
  */
 public record DispatchMessage(
         CallContext context,
@@ -27,7 +29,8 @@
         long remainingMicros,
         int retries,
         RequestHead head,
-        EndpointNotice notice)
+        EndpointNotice notice,
+        CallProgress progress)
         implements PeerMessage {
     /**
      * Returns a copy of this message with another body.
@@ -37,6 +40,6 @@
      */
     public DispatchMessage withBody(CallBody newBody) {
         return new DispatchMessage(
-                context, operation, idempotent, newBody, fingerprint, remainingMicros, retries, head, notice);
+                context, operation, idempotent, newBody, fingerprint, remainingMicros, retries, head, notice, progress);
     }
 }
--- a/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
+++ b/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
@@ -18,6 +18,7 @@
 import org.anvillatch.decision.model.Outcome;
 import org.anvillatch.decision.model.RefusalReason;
 import org.anvillatch.decision.quarantine.CrashSuspects;
+import org.anvillatch.decision.rejection.RetryGrants;
 import org.anvillatch.decision.retry.RetryBudget;
 import org.anvillatch.node.decisionlog.Decision;
 import org.anvillatch.node.endpoint.EndpointAnnouncement;
@@ -46,6 +47,7 @@
     private final Map<String, Execution> startedByCallPath = new HashMap<>();
     private final EndpointState endpointState;
     private final LostConnections lostConnections;
+    private final PartialRejections rejections;
     private boolean tickScheduled;
     private long nextExecution = 1;
 
@@ -73,6 +75,16 @@
         this.metrics = metrics;
         this.endpointState = new EndpointState(loop, state, client, this::perform);
         this.lostConnections = new LostConnections(state, endpointState, crashSignal);
+        this.rejections = new PartialRejections(loop, state, metrics);
+    }
+
+    /**
+     * Returns the decisions about services that reject a part of their requests.
+     *
+     * @return the decisions, owned by the loop
+     */
+    public PartialRejections rejections() {
+        return rejections;
     }
 
     /**
@@ -110,6 +122,8 @@
         private int nextCallNumber;
         private NestedCallStats nestedStats = NestedCallStats.NONE;
         private boolean nestedFailed;
+        private final TreeProgress tree = new TreeProgress();
+        private EndpointTransport.EndpointAnswer heldAnswer;
 
         private Execution(long number, DispatchMessage message, Consumer<CallAnswer> reply, long nowMicros) {
             this.number = number;
@@ -175,6 +189,10 @@
             return nestedStats.called() || !nestedCalls.isEmpty();
         }
 
+        TreeProgress tree() {
+            return tree;
+        }
+
         /**
          * Returns the identity of this execution that is sent to the endpoint.
          *
@@ -205,6 +223,8 @@
             refuse(execution, RefusalReason.QUARANTINED, 0);
         } else if (revocationOf(execution) != null) {
             refuse(execution, revocationOf(execution), 0);
+        } else if (!rejections.admit(message, execution.tree)) {
+            refuse(execution, RefusalReason.PARTIAL_REJECTION, 0);
         } else {
             Work work = new Work(
                     number,
@@ -239,7 +259,10 @@
         }
         List<CallRouter.RoutedCall> nestedCalls = List.copyOf(execution.nestedCalls);
         nestedCalls.forEach(CallRouter.RoutedCall::cancel);
-        if (execution.started) {
+        if (execution.heldAnswer != null) {
+            rejections.cancel(number);
+            answerHeld(execution, false);
+        } else if (execution.started) {
             execution.abort.run();
         } else {
             perform(state.gatekeeper().cancel(number, loop.nowMicros()));
@@ -283,10 +306,11 @@
     private void tick() {
         tickScheduled = false;
         perform(state.gatekeeper().tick(loop.nowMicros()));
+        releaseHeld();
     }
 
     private void scheduleTick() {
-        if (!tickScheduled && state.gatekeeper().needsTick()) {
+        if (!tickScheduled && (state.gatekeeper().needsTick() || rejections.isHolding())) {
             tickScheduled = true;
             loop.schedule(TICK_PERIOD_MICROS, this::tick);
         }
@@ -302,7 +326,8 @@
         int slash = name.lastIndexOf('/');
         try {
             Execution execution = executions.get(Long.parseLong(name.substring(slash + 1)));
-            return execution != null && execution.started && execution.name().equals(name) ? execution : null;
+            boolean running = execution != null && execution.started && execution.heldAnswer == null;
+            return running && execution.name().equals(name) ? execution : null;
         } catch (NumberFormatException notANumber) {
             return null;
         }
@@ -337,6 +362,7 @@
         startedByCallPath.put(execution.message.context().path(), execution);
         record(execution, "start", "", 0);
         metrics.counter("gatekeeper.started").inc();
+        rejections.recordStart(execution.message);
         execution.abort = client.send(
                 endpointState.endpoint(),
                 execution.name(),
@@ -398,13 +424,43 @@
         } else if (answer.result() == EndpointTransport.ExchangeResult.ANSWERED) {
             lostConnections.recordAnswered(execution.message.fingerprint());
         }
-        CallAnswer callAnswer = toCallAnswer(execution, answer, durationMicros, suspicions);
-        execution.replied = true;
-        execution.reply.accept(callAnswer);
+        if (rejections.recordEnd(execution.number, execution.message, answer, execution.deadlineMicros)) {
+            execution.heldAnswer = answer;
+            executions.put(execution.number, execution);
+        } else {
+            CallAnswer callAnswer = toCallAnswer(execution, answer, durationMicros, suspicions);
+            if (callAnswer.outcome() == Outcome.COMPLETE) {
+                rejections.recordComplete(execution.message.operation(), execution.tree.callsMade());
+            }
+            reply(execution, callAnswer, false);
+        }
         perform(next);
+        releaseHeld();
         endpointState.updateHealth();
     }
 
+    private void reply(Execution execution, CallAnswer answer, boolean retryGranted) {
+        CallAnswer.LoadReport report =
+                answer.report().withRejections(rejections.reportFor(execution.message.operation()), retryGranted);
+        execution.replied = true;
+        execution.reply.accept(answer.withReport(report));
+    }
+
+    /** Answers rejected calls that were held, for which there is now a retry or whose time is over. */
+    private void releaseHeld() {
+        for (RetryGrants.Release release : rejections.release()) {
+            answerHeld(executions.get(release.execution()), release.granted());
+        }
+    }
+
+    private void answerHeld(Execution execution, boolean retryGranted) {
+        executions.remove(execution.number);
+        // A failure after the call was held has answered it already.
+        if (!execution.replied) {
+            reply(execution, toCallAnswer(execution, execution.heldAnswer, 0, List.of()), retryGranted);
+        }
+    }
+
     /**
      * Records the answer of a nested call.
      *
@@ -417,6 +473,7 @@
         parent.nestedStats = parent.nestedStats.plus(answer.report().queuedMicros(), refused);
         parent.nestedStats = parent.nestedStats.plusExecution(answer.report().durationMicros());
         parent.nestedFailed |= answer.outcome() != Outcome.COMPLETE;
+        parent.tree.recordCall(called, answer.outcome() == Outcome.COMPLETE);
         state.gatekeeper()
                 .recordDownstreamLevel(
                         parent.message.operation(), called, answer.report().level(), loop.nowMicros());
--- a/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
+++ b/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
@@ -10,6 +10,9 @@
 import org.anvillatch.decision.model.Outcome;
 import org.anvillatch.decision.model.RefusalReason;
 import org.anvillatch.decision.quarantine.CrashSuspects;
+import org.anvillatch.decision.rejection.CallProgress;
+import org.anvillatch.decision.rejection.CallStart;
+import org.anvillatch.decision.rejection.ServiceRejection;
 import org.anvillatch.node.call.CallAnswer;
 import org.anvillatch.node.call.CallBody;
 import org.anvillatch.node.call.CallContext;
@@ -63,6 +66,9 @@
             }
             pack(packer, message.notice());
             packer.packString(context.team()).packString(context.keyId());
+            packer.packInt(message.progress().start().ordinal())
+                    .packInt(message.progress().completedCalls())
+                    .packBoolean(message.progress().chosen());
             return packer.toByteArray();
         }
     }
@@ -98,7 +104,16 @@
                     namesTeam ? unpacker.unpackString() : "",
                     namesTeam ? unpacker.unpackString() : "");
             return new DispatchMessage(
-                    context, operation, idempotent, body, fingerprint, remainingMicros, retries, head, notice);
+                    context,
+                    operation,
+                    idempotent,
+                    body,
+                    fingerprint,
+                    remainingMicros,
+                    retries,
+                    head,
+                    notice,
+                    unpackProgress(unpacker));
         }
     }
 
@@ -122,6 +137,7 @@
             }
             pack(packer, answer.headers());
             pack(packer, answer.report().notice());
+            packRejections(packer, answer.report());
             return packer.toByteArray();
         }
     }
@@ -147,8 +163,10 @@
                 suspicions.add(new CrashSuspects.Suspicion(unpacker.unpackString(), unpacker.unpackString()));
             }
             List<HeaderField> headers = unpackHeaders(unpacker);
-            CallAnswer.LoadReport report = new CallAnswer.LoadReport(
-                    level, inFlight, durationMicros, queuedMicros, endpointFault, unpackNotice(unpacker));
+            CallAnswer.LoadReport report = unpackRejections(
+                    unpacker,
+                    new CallAnswer.LoadReport(
+                            level, inFlight, durationMicros, queuedMicros, endpointFault, unpackNotice(unpacker)));
             return new CallAnswer(
                     outcome,
                     reason,
@@ -191,7 +209,7 @@
         }
     }
 
-    /** Unpacks a component of a message that earlier versions of a node do not send. */
+    /** Unpacks a component that earlier versions of a node do not send. */
     private static EndpointNotice unpackNotice(MessageUnpacker unpacker) throws IOException {
         if (!unpacker.hasNext() || unpacker.tryUnpackNil()) {
             return null;
@@ -199,6 +217,40 @@
         return new EndpointNotice(unpacker.unpackString(), unpacker.unpackDouble(), unpacker.unpackBoolean());
     }
 
+    private static CallProgress unpackProgress(MessageUnpacker unpacker) throws IOException {
+        if (!unpacker.hasNext()) {
+            return CallProgress.NONE;
+        }
+        return new CallProgress(
+                unpackEnum(unpacker, CallStart.values()), unpacker.unpackInt(), unpacker.unpackBoolean());
+    }
+
+    private static void packRejections(MessageBufferPacker packer, CallAnswer.LoadReport report) throws IOException {
+        packer.packBoolean(report.retryGranted())
+                .packArrayHeader(report.rejections().size());
+        for (ServiceRejection rejection : report.rejections()) {
+            packer.packString(rejection.service())
+                    .packDouble(rejection.ratio())
+                    .packInt(rejection.level())
+                    .packDouble(rejection.calls());
+        }
+    }
+
+    private static CallAnswer.LoadReport unpackRejections(MessageUnpacker unpacker, CallAnswer.LoadReport report)
+            throws IOException {
+        if (!unpacker.hasNext()) {
+            return report;
+        }
+        boolean granted = unpacker.unpackBoolean();
+        int count = unpacker.unpackArrayHeader();
+        List<ServiceRejection> rejections = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            rejections.add(new ServiceRejection(
+                    unpacker.unpackString(), unpacker.unpackDouble(), unpacker.unpackInt(), unpacker.unpackDouble()));
+        }
+        return report.withRejections(rejections, granted);
+    }
+
     private static void pack(MessageBufferPacker packer, List<HeaderField> headers) throws IOException {
         packer.packArrayHeader(headers.size());
         for (HeaderField field : headers) {
--- a/node/src/test/java/org/anvillatch/node/call/GatekeeperServiceTest.java
+++ b/node/src/test/java/org/anvillatch/node/call/GatekeeperServiceTest.java
@@ -13,6 +13,7 @@
 import org.anvillatch.decision.model.HostIdentity;
 import org.anvillatch.decision.model.OperationName;
 import org.anvillatch.decision.model.RefusalReason;
+import org.anvillatch.decision.rejection.CallProgress;
 import org.anvillatch.decision.routing.RequestLimits;
 import org.anvillatch.decision.routing.RouteTable;
 import org.anvillatch.decision.team.ApiKeyHash;
@@ -96,7 +97,8 @@
                 10_000_000,
                 0,
                 null,
-                knownToSender);
+                knownToSender,
+                CallProgress.NONE);
         service.dispatch(message, answers::add);
     }
 
--- a/node/src/test/java/org/anvillatch/node/peer/PeerTransfersTest.java
+++ b/node/src/test/java/org/anvillatch/node/peer/PeerTransfersTest.java
@@ -9,6 +9,7 @@
 import java.util.SplittableRandom;
 
 import org.anvillatch.decision.model.OperationName;
+import org.anvillatch.decision.rejection.CallProgress;
 import org.anvillatch.decision.model.Outcome;
 import org.anvillatch.node.call.CallAnswer;
 import org.anvillatch.node.call.CallBody;
@@ -110,7 +111,8 @@
                 900_000,
                 2,
                 null,
-                null);
+                null,
+                CallProgress.NONE);
     }
 
     private static CallAnswer answer(CallBody body) {
