--- a/node/src/main/java/org/anvillatch/node/call/CallAnswer.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallAnswer.java
@@ -5,6 +5,7 @@
 import org.anvillatch.decision.model.EndpointNotice;
 import org.anvillatch.decision.model.Outcome;
 import org.anvillatch.decision.model.RefusalReason;
+import org.anvillatch.decision.model.ServiceTimeReport;
 import org.anvillatch.decision.quarantine.CrashSuspects;
 import org.anvillatch.decision.rejection.ServiceRejection;
 import org.anvillatch.node.peer.PeerMessage;
@@ -48,6 +49,8 @@
      * @param notice restriction that the endpoint names, null if it names none
      * @param rejections services that reject requests and that an execution of the operation calls, including its own
      * @param retryGranted whether the sender may retry a rejected call at no cost of its own
+     * @param serviceTime service time of the operation at the endpoint, null if it is not known or the endpoint does not
+     *     report the pace of its machine
      */
     public record LoadReport(
             int level,
@@ -57,7 +60,8 @@
             boolean endpointFault,
             EndpointNotice notice,
             List<ServiceRejection> rejections,
-            boolean retryGranted) {
+            boolean retryGranted,
+            ServiceTimeReport serviceTime) {
         /** Report without any information. */
         public static final LoadReport NONE = new LoadReport(0, 0, 0, 0);
 
@@ -90,7 +94,7 @@
                 long queuedMicros,
                 boolean endpointFault,
                 EndpointNotice notice) {
-            this(level, inFlight, durationMicros, queuedMicros, endpointFault, notice, List.of(), false);
+            this(level, inFlight, durationMicros, queuedMicros, endpointFault, notice, List.of(), false, null);
         }
 
         /**
@@ -102,7 +106,34 @@
          */
         public LoadReport withRejections(List<ServiceRejection> services, boolean granted) {
             return new LoadReport(
-                    level, inFlight, durationMicros, queuedMicros, endpointFault, notice, services, granted);
+                    level,
+                    inFlight,
+                    durationMicros,
+                    queuedMicros,
+                    endpointFault,
+                    notice,
+                    services,
+                    granted,
+                    serviceTime);
+        }
+
+        /**
+         * Returns a copy of this report with the service time of the operation.
+         *
+         * @param time service time, or null
+         * @return the copy
+         */
+        public LoadReport withServiceTime(ServiceTimeReport time) {
+            return new LoadReport(
+                    level,
+                    inFlight,
+                    durationMicros,
+                    queuedMicros,
+                    endpointFault,
+                    notice,
+                    rejections,
+                    retryGranted,
+                    time);
         }
     }
 
--- a/node/src/main/java/org/anvillatch/node/call/CallRouter.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallRouter.java
@@ -319,8 +319,8 @@
             CallAnswer.LoadReport load = answer.report();
             // Calls that did not complete are excluded: a quick refusal or failure would make the endpoint look fast.
             long duration = answer.outcome() == Outcome.COMPLETE ? load.durationMicros() : 0;
-            LoadFeedback feedback =
-                    new LoadFeedback(call.operation(), load.level(), load.inFlight(), duration, load.notice());
+            LoadFeedback feedback = new LoadFeedback(
+                    call.operation(), load.level(), load.inFlight(), duration, load.notice(), load.serviceTime());
             state.selector().recordAnswer(host, feedback, now);
             if (answer.reason() == RefusalReason.DRAINING || answer.reason() == RefusalReason.NO_ENDPOINT) {
                 state.selector().recordLeaving(host, now);
--- a/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
+++ b/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
@@ -490,7 +490,13 @@
         boolean endpointFault =
                 EndpointAnswers.isEndpointFault(answer, execution.nestedFailed) && !execution.hasNestedCalls();
         CallAnswer.LoadReport report = new CallAnswer.LoadReport(
-                level, executionsInFlight(), durationMicros, queuedMicros, endpointFault, endpointState.restriction());
+                        level,
+                        executionsInFlight(),
+                        durationMicros,
+                        queuedMicros,
+                        endpointFault,
+                        endpointState.restriction())
+                .withServiceTime(state.gatekeeper().serviceTimeOf(execution.message.operation()));
         return EndpointAnswers.toCallAnswer(
                 answer, host, report, execution.budget.remaining(), execution.hasNestedCalls(), suspicions);
     }
--- a/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
+++ b/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
@@ -9,6 +9,7 @@
 import org.anvillatch.decision.model.OperationName;
 import org.anvillatch.decision.model.Outcome;
 import org.anvillatch.decision.model.RefusalReason;
+import org.anvillatch.decision.model.ServiceTimeReport;
 import org.anvillatch.decision.quarantine.CrashSuspects;
 import org.anvillatch.decision.rejection.CallProgress;
 import org.anvillatch.decision.rejection.CallStart;
@@ -138,6 +139,7 @@
             pack(packer, answer.headers());
             pack(packer, answer.report().notice());
             packRejections(packer, answer.report());
+            pack(packer, answer.report().serviceTime());
             return packer.toByteArray();
         }
     }
@@ -164,9 +166,15 @@
             }
             List<HeaderField> headers = unpackHeaders(unpacker);
             CallAnswer.LoadReport report = unpackRejections(
-                    unpacker,
-                    new CallAnswer.LoadReport(
-                            level, inFlight, durationMicros, queuedMicros, endpointFault, unpackNotice(unpacker)));
+                            unpacker,
+                            new CallAnswer.LoadReport(
+                                    level,
+                                    inFlight,
+                                    durationMicros,
+                                    queuedMicros,
+                                    endpointFault,
+                                    unpackNotice(unpacker)))
+                    .withServiceTime(unpackServiceTime(unpacker));
             return new CallAnswer(
                     outcome,
                     reason,
@@ -225,6 +233,22 @@
                 unpackEnum(unpacker, CallStart.values()), unpacker.unpackInt(), unpacker.unpackBoolean());
     }
 
+    private static void pack(MessageBufferPacker packer, ServiceTimeReport time) throws IOException {
+        if (time == null) {
+            packer.packNil();
+        } else {
+            packer.packLong(time.usualMicros()).packInt(time.pacePercent());
+        }
+    }
+
+    /** Unpacks a component of a message that earlier versions of a node do not send. */
+    private static ServiceTimeReport unpackServiceTime(MessageUnpacker unpacker) throws IOException {
+        if (!unpacker.hasNext() || unpacker.tryUnpackNil()) {
+            return null;
+        }
+        return new ServiceTimeReport(unpacker.unpackLong(), unpacker.unpackInt());
+    }
+
     private static void packRejections(MessageBufferPacker packer, CallAnswer.LoadReport report) throws IOException {
         packer.packBoolean(report.retryGranted())
                 .packArrayHeader(report.rejections().size());
--- a/node/src/test/java/org/anvillatch/node/peer/FrameCodecTest.java
+++ b/node/src/test/java/org/anvillatch/node/peer/FrameCodecTest.java
@@ -23,6 +23,7 @@
 import org.anvillatch.decision.model.EndpointNotice;
 import org.anvillatch.decision.model.HostIdentity;
 import org.anvillatch.decision.model.OperationName;
+import org.anvillatch.decision.model.ServiceTimeReport;
 import org.anvillatch.decision.rejection.CallProgress;
 import org.anvillatch.decision.rejection.CallStart;
 import org.anvillatch.decision.rejection.ServiceRejection;
@@ -125,13 +126,22 @@
     @Test
     void answerOfAnEarlierVersionNamesNoRestriction() throws IOException {
         byte[] bytes = CallCodec.encode(CallAnswer.unknown("no answer", "host", List.of()));
-        // The notice, then the granted retry and the rejecting services, were appended in this order, a byte each.
-        for (int missing = 2; missing <= 3; missing++) {
+        // The notice, the granted retry, the rejecting services and the service time were appended in this order, a
+        // byte
+        // each; the granted retry and the rejecting services were added together.
+        for (int missing : new int[] {1, 3, 4}) {
             byte[] earlier = Arrays.copyOf(bytes, bytes.length - missing);
             assertThat(CallCodec.decodeAnswer(earlier).report()).isEqualTo(CallAnswer.LoadReport.NONE);
         }
     }
 
+    @Test
+    void answerRoundTripsWithItsServiceTime() throws IOException {
+        CallAnswer.LoadReport report = CallAnswer.LoadReport.NONE.withServiceTime(new ServiceTimeReport(15_000, 250));
+        CallAnswer answer = CallAnswer.unknown("no answer", "host", List.of()).withReport(report);
+        assertThat(CallCodec.decodeAnswer(CallCodec.encode(answer)).report()).isEqualTo(report);
+    }
+
     private static PeerMessage decodeHex(String hex) throws FrameException {
         return FrameCodec.decode(ByteBuffer.wrap(HexFormat.of().parseHex(hex)))
                 .get()
--- a/node/src/test/java/org/anvillatch/node/peer/PeerTransfersTest.java
+++ b/node/src/test/java/org/anvillatch/node/peer/PeerTransfersTest.java
@@ -9,8 +9,8 @@
 import java.util.SplittableRandom;
 
 import org.anvillatch.decision.model.OperationName;
-import org.anvillatch.decision.rejection.CallProgress;
 import org.anvillatch.decision.model.Outcome;
+import org.anvillatch.decision.rejection.CallProgress;
 import org.anvillatch.node.call.CallAnswer;
 import org.anvillatch.node.call.CallBody;
 import org.anvillatch.node.call.CallContext;
