--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -35,6 +35,7 @@
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
 import org.anvillatch.node.membership.MembershipService;
+import org.anvillatch.node.memory.IncompleteBodies;
 import org.anvillatch.node.memory.MemoryBudget;
 import org.anvillatch.node.operator.ChangeCommand;
 import org.anvillatch.node.operator.CommandHandler;
@@ -131,7 +132,7 @@
                 loop,
                 new NodePeerHandler.Services(
                         commonHandler, idempotencyService, configurationService, questions, this::status));
-        ConnectionGuard guard = new ConnectionGuard(scheduler, budget, metrics);
+        ConnectionGuard guard = new ConnectionGuard(scheduler, new IncompleteBodies(budget), metrics);
         NodeServer server = new NodeServer(
                 settings,
                 threads,
--- a/node/src/main/java/org/anvillatch/node/caller/CallHandler.java
+++ b/node/src/main/java/org/anvillatch/node/caller/CallHandler.java
@@ -12,6 +12,7 @@
 import org.anvillatch.decision.idempotency.KeyClaims;
 import org.anvillatch.decision.idempotency.UuidV7Key;
 import org.anvillatch.decision.model.OperationName;
+import org.anvillatch.decision.model.Outcome;
 import org.anvillatch.decision.model.Rank;
 import org.anvillatch.decision.model.RefusalReason;
 import org.anvillatch.decision.retry.RetryBudget;
@@ -26,10 +27,10 @@
 import org.anvillatch.node.call.IdempotencyService;
 import org.anvillatch.node.decisionlog.Decision;
 import org.anvillatch.node.endpoint.CallHeaders;
+import org.anvillatch.node.listener.RequestBodies;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
 import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -126,13 +127,16 @@
     }
 
     private void readBody(Exchange exchange) {
-        Content.Source.asByteArrayAsync(exchange.request(), MAX_BODY_BYTES).whenComplete((content, failure) -> {
+        RequestBodies.read(exchange.request(), MAX_BODY_BYTES).whenComplete((content, failure) -> {
             if (failure == null) {
                 loop.execute(() -> handleOnLoop(exchange, content));
             } else if (failure instanceof IllegalStateException) {
                 rejectTooLarge(exchange.response(), exchange.callback());
             } else {
-                exchange.callback().failed(failure);
+                exchange.response().getHeaders().put(CallHeaders.OUTCOME, Outcome.NOT_RUN.wireName());
+                if (!RequestBodies.refuseIfExhausted(failure, exchange.response(), exchange.callback())) {
+                    exchange.callback().failed(failure);
+                }
             }
         });
     }
--- a/node/src/main/java/org/anvillatch/node/endpoint/EndpointHandler.java
+++ b/node/src/main/java/org/anvillatch/node/endpoint/EndpointHandler.java
@@ -8,10 +8,10 @@
 import org.anvillatch.decision.drain.EndpointPhase;
 import org.anvillatch.node.call.GatekeeperService;
 import org.anvillatch.node.caller.HttpResponses;
+import org.anvillatch.node.listener.RequestBodies;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
 import org.anvillatch.node.peer.FrameCodec;
-import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -77,7 +77,10 @@
         if (!Request.getPathInContext(request).equals(PATH)) {
             return false;
         }
-        Content.Source.asByteArrayAsync(request, MAX_BODY_BYTES).whenComplete((content, failure) -> {
+        RequestBodies.read(request, MAX_BODY_BYTES).whenComplete((content, failure) -> {
+            if (RequestBodies.refuseIfExhausted(failure, response, callback)) {
+                return;
+            }
             if (failure != null) {
                 HttpResponses.badRequest(response, BAD_REQUEST, "body cannot be read or is too long", callback);
             } else {
--- a/node/src/main/java/org/anvillatch/node/listener/ConnectionGuard.java
+++ b/node/src/main/java/org/anvillatch/node/listener/ConnectionGuard.java
@@ -8,7 +8,7 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import org.anvillatch.node.Service;
-import org.anvillatch.node.memory.MemoryBudget;
+import org.anvillatch.node.memory.IncompleteBodies;
 import org.eclipse.jetty.util.thread.Scheduler;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -33,7 +33,7 @@
     private static final int MAX_LINES_PER_SWEEP = 5;
 
     private final Scheduler scheduler;
-    private final MemoryBudget budget;
+    private final IncompleteBodies incompleteBodies;
     private final List<ListenerConnections> listeners = new CopyOnWriteArrayList<>();
     private final Counter closedSlow;
     private final Counter replaced;
@@ -44,12 +44,12 @@
      * Creates the guard.
      *
      * @param scheduler runs the sweeps
-     * @param budget account of the connections
+     * @param incompleteBodies bodies that are being read, and the account of the connections
      * @param metrics registry for the numbers of open, closed and replaced connections
      */
-    public ConnectionGuard(Scheduler scheduler, MemoryBudget budget, MetricRegistry metrics) {
+    public ConnectionGuard(Scheduler scheduler, IncompleteBodies incompleteBodies, MetricRegistry metrics) {
         this.scheduler = scheduler;
-        this.budget = budget;
+        this.incompleteBodies = incompleteBodies;
         this.closedSlow = metrics.counter("connections.closed_slow");
         this.replaced = metrics.counter("connections.replaced");
         metrics.register("connections.open", (Gauge<Integer>)
@@ -66,7 +66,7 @@
      * @return the connections of the listener
      */
     public ListenerConnections addListener(String name, int maxConnections) {
-        ListenerConnections connections = new ListenerConnections(name, maxConnections, budget, replaced);
+        ListenerConnections connections = new ListenerConnections(name, maxConnections, incompleteBodies, replaced);
         listeners.add(connections);
         return connections;
     }
--- a/node/src/main/java/org/anvillatch/node/listener/GuardedEndPoint.java
+++ b/node/src/main/java/org/anvillatch/node/listener/GuardedEndPoint.java
@@ -6,6 +6,7 @@
 import java.nio.channels.SocketChannel;
 
 import org.anvillatch.node.ResetAwareEndPoint;
+import org.anvillatch.node.memory.IncompleteBodies;
 import org.anvillatch.node.memory.Reservation;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.util.BufferUtil;
@@ -44,6 +45,10 @@
         return progress;
     }
 
+    IncompleteBodies incompleteBodies() {
+        return connections.incompleteBodies();
+    }
+
     Reservation reservation() {
         return reservation;
     }
--- a/node/src/main/java/org/anvillatch/node/listener/ListenerConnections.java
+++ b/node/src/main/java/org/anvillatch/node/listener/ListenerConnections.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 import com.codahale.metrics.Counter;
+import org.anvillatch.node.memory.IncompleteBodies;
 import org.anvillatch.node.memory.MemoryBudget;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -23,16 +24,18 @@
     private static final int MIN_CONNECTIONS = 8;
 
     private final String name;
+    private final IncompleteBodies incompleteBodies;
     private final MemoryBudget budget;
     private final Counter replaced;
     private final Set<GuardedEndPoint> connections = ConcurrentHashMap.newKeySet();
     private volatile int maxConnections;
     private volatile boolean limitLogged;
 
-    ListenerConnections(String name, int maxConnections, MemoryBudget budget, Counter replaced) {
+    ListenerConnections(String name, int maxConnections, IncompleteBodies incompleteBodies, Counter replaced) {
         this.name = name;
         this.maxConnections = maxConnections;
-        this.budget = budget;
+        this.incompleteBodies = incompleteBodies;
+        this.budget = incompleteBodies.budget();
         this.replaced = replaced;
     }
 
@@ -49,6 +52,10 @@
         return maxConnections;
     }
 
+    IncompleteBodies incompleteBodies() {
+        return incompleteBodies;
+    }
+
     MemoryBudget budget() {
         return budget;
     }
--- a/node/src/main/java/org/anvillatch/node/operator/CommandHandler.java
+++ b/node/src/main/java/org/anvillatch/node/operator/CommandHandler.java
@@ -11,10 +11,10 @@
 import org.anvillatch.language.ScriptParser;
 import org.anvillatch.node.Readiness;
 import org.anvillatch.node.caller.HttpResponses;
+import org.anvillatch.node.listener.RequestBodies;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
 import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -117,7 +117,10 @@
             HttpResponses.badRequest(response, METHOD_NOT_ALLOWED, "method must be POST", callback);
             return true;
         }
-        Content.Source.asByteArrayAsync(request, MAX_BODY_BYTES).whenComplete((content, failure) -> {
+        RequestBodies.read(request, MAX_BODY_BYTES).whenComplete((content, failure) -> {
+            if (RequestBodies.refuseIfExhausted(failure, response, callback)) {
+                return;
+            }
             if (failure != null) {
                 HttpResponses.badRequest(response, CONTENT_TOO_LARGE, "script cannot be read", callback);
             } else {
