--- a/node/src/main/java/org/anvillatch/node/listener/GuardedEndPoint.java
+++ b/node/src/main/java/org/anvillatch/node/listener/GuardedEndPoint.java
@@ -6,6 +6,7 @@
 import java.nio.channels.SocketChannel;
 
 import org.anvillatch.node.ResetAwareEndPoint;
+import org.anvillatch.node.memory.IncompleteBodies;
 import org.anvillatch.node.memory.Reservation;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.util.BufferUtil;
@@ -44,6 +45,10 @@
         return progress;
     }
 
+    IncompleteBodies incompleteBodies() {
+        return connections.incompleteBodies();
+    }
+
     Reservation reservation() {
         return reservation;
     }
@@ -57,6 +62,11 @@
         progress.responseStarted(length);
     }
 
+    /** Notes that the other side has proved to be another host: the connection is kept as long as it is open. */
+    public void keep() {
+        progress.keep();
+    }
+
     @Override
     public void onOpen() {
         super.onOpen();
