--- a/decision/src/main/java/org/anvillatch/decision/routing/EndpointLoad.java
+++ b/decision/src/main/java/org/anvillatch/decision/routing/EndpointLoad.java
@@ -58,6 +58,10 @@
         }
     }
 
+    void recordAbandoned() {
+        inFlight = Math.max(0, inFlight - 1);
+    }
+
     boolean isEjected(long nowMicros) {
         return nowMicros < ejectedUntilMicros;
     }
--- a/decision/src/main/java/org/anvillatch/decision/routing/EndpointSelector.java
+++ b/decision/src/main/java/org/anvillatch/decision/routing/EndpointSelector.java
@@ -286,4 +286,13 @@
     public void recordFailure(Member host, long nowMicros) {
         load(host).recordFailure(nowMicros);
     }
+
+    /**
+     * Records that no answer to a dispatch is awaited any more, which says nothing about the host.
+     *
+     * @param host the host
+     */
+    public void recordAbandoned(Member host) {
+        load(host).recordAbandoned();
+    }
 }
--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -269,12 +269,16 @@
         });
         Thread.sleep(Math.min(LEAVE_SETTLE_MILLIS, settings.stopMillis()));
         long deadlineMillis = System.currentTimeMillis() + settings.stopMillis();
-        while (router.inFlight() + gatekeeperService.inFlight() > 0 && System.currentTimeMillis() < deadlineMillis) {
+        while (isBusy() && System.currentTimeMillis() < deadlineMillis) {
             Thread.sleep(LEAVE_POLL_PERIOD_MILLIS);
         }
         LOG.info("left with {} calls in flight", router.inFlight() + gatekeeperService.inFlight());
     }
 
+    private boolean isBusy() {
+        return router.inFlight() + gatekeeperService.inFlight() + callHandler.pendingWrites() > 0;
+    }
+
     @Override
     public void stop() {
         processState = "stopped";
--- a/node/src/main/java/org/anvillatch/node/call/CallRouter.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallRouter.java
@@ -132,6 +132,10 @@
         private final RetryBudget budget;
         private final Set<String> triedHosts = new HashSet<>();
         private Runnable cancelDispatch = () -> {};
+
+        /** Host that has not answered the last dispatch, null if there is none. */
+        private Member dispatchedTo;
+
         private int remainingReroutes;
         private int overloadRefusals;
         private RefusalReason lastRefusal;
@@ -170,6 +174,9 @@
                 completed = true;
                 abandoned = true;
                 openCalls.remove(this);
+                if (dispatchedTo != null) {
+                    state.selector().recordAbandoned(dispatchedTo);
+                }
                 cancelDispatch.run();
             }
         }
@@ -256,6 +263,7 @@
                     call.head(),
                     state.selector().noticeOf(host.host().name()));
             state.selector().recordSent(host);
+            dispatchedTo = host;
             if (host.host().equals(state.membership().self().host())) {
                 dispatchLocally(host, message);
             } else {
@@ -300,6 +308,7 @@
             LoadFeedback feedback =
                     new LoadFeedback(call.operation(), load.level(), load.inFlight(), duration, load.notice());
             state.selector().recordAnswer(host, feedback, now);
+            dispatchedTo = null;
             if (answer.reason() == RefusalReason.DRAINING || answer.reason() == RefusalReason.NO_ENDPOINT) {
                 state.selector().recordLeaving(host, now);
             }
@@ -310,6 +319,7 @@
 
         private void handleFailure(Member host, PeerClient.PeerFailure failure) {
             state.selector().recordFailure(host, loop.nowMicros());
+            dispatchedTo = null;
             String name = host.host().name();
             if (failure == PeerClient.PeerFailure.NOT_SENT) {
                 String detail = "host " + name + " cannot be reached";
--- a/node/src/main/java/org/anvillatch/node/caller/CallHandler.java
+++ b/node/src/main/java/org/anvillatch/node/caller/CallHandler.java
@@ -61,6 +61,7 @@
     private final CallDecisionRecorder decisions;
     private final Timer timer;
     private final AtomicLong nextRequest = new AtomicLong();
+    private final PendingWrites pendingWrites = new PendingWrites();
     private volatile boolean draining;
 
     private record Exchange(Request request, Response response, Callback callback, OperationName operation) {}
@@ -93,6 +94,15 @@
         this.timer = metrics.timer("calls.duration");
     }
 
+    /**
+     * Returns the number of answers that are being written.
+     *
+     * @return 0 or more
+     */
+    public int pendingWrites() {
+        return pendingWrites.count();
+    }
+
     /** Refuses all further root requests. */
     public void refuseRootRequests() {
         draining = true;
@@ -282,7 +292,7 @@
             gatekeeperService.recordNestedAnswer(parent, call.operation(), answer);
         }
         record(call, answer);
-        HttpResponses.call(exchange.response(), call.context().root(), answer, exchange.callback());
+        HttpResponses.call(exchange.response(), call.context().root(), answer, pendingWrites.add(exchange.callback()));
     }
 
     private void refuse(Exchange exchange, String root, RefusalReason reason) {
@@ -293,7 +303,7 @@
                 CallAnswer.LoadReport.NONE,
                 0,
                 state.membership().self().host().name());
-        HttpResponses.call(exchange.response(), root, answer, exchange.callback());
+        HttpResponses.call(exchange.response(), root, answer, pendingWrites.add(exchange.callback()));
     }
 
     private void record(Call call, CallAnswer answer) {
--- a/platform/src/main/java/org/anvillatch/platform/PendingWrites.java
+++ b/node/src/main/java/org/anvillatch/node/caller/PendingWrites.java
@@ -1,4 +1,4 @@
-package org.anvillatch.platform;
+package org.anvillatch.node.caller;
 
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -11,7 +11,7 @@
  *
  * <p>Invariant: each added answer is counted until its callback is completed, and no longer.
  */
-final class PendingWrites {
+public final class PendingWrites {
     private final AtomicInteger count = new AtomicInteger();
 
     /**
@@ -20,7 +20,7 @@
      * @param callback callback of its write
      * @return the callback to complete instead
      */
-    Callback add(Callback callback) {
+    public Callback add(Callback callback) {
         count.incrementAndGet();
         return new Callback() {
             @Override
@@ -47,7 +47,7 @@
      *
      * @return 0 or more
      */
-    int count() {
+    public int count() {
         return count.get();
     }
 }
--- a/node/src/main/java/org/anvillatch/node/endpoint/EndpointHandler.java
+++ b/node/src/main/java/org/anvillatch/node/endpoint/EndpointHandler.java
@@ -151,9 +151,11 @@
 
     private void handleDeregistration(Response response, Callback callback) {
         EndpointAnnouncement endpoint = gatekeeperService.endpointState().endpoint();
-        if (endpoint != null) {
-            gatekeeperService.endpointState().leaving(endpoint.instance());
+        if (endpoint == null) {
+            HttpResponses.badRequest(response, CONFLICT, "no endpoint has announced itself", callback);
+            return;
         }
+        gatekeeperService.endpointState().leaving(endpoint.instance());
         HttpResponses.json(response, ACCEPTED, endpointStatus(), callback);
     }
 
