--- a/node/src/main/java/org/anvillatch/node/peer/PeerConnection.java
+++ b/node/src/main/java/org/anvillatch/node/peer/PeerConnection.java
@@ -230,6 +230,15 @@
         return transfers.cancelRequest(correlation);
     }
 
+    /**
+     * Returns whether frames or parts of an answer wait to be written.
+     *
+     * @return false if all that was sent on this connection is handed to the system
+     */
+    public boolean isWriting() {
+        return writer.isBusy() || transfers.hasOutgoingAnswer();
+    }
+
     @Override
     public void onClose(Throwable cause) {
         super.onClose(cause);
@@ -280,6 +289,15 @@
         private final Queue<ByteBuffer> queue = new ArrayDeque<>();
         private int queuedBytes;
 
+        /** Whether frames are queued or a write has not ended. */
+        private boolean busy;
+
+        boolean isBusy() {
+            synchronized (queue) {
+                return busy;
+            }
+        }
+
         /** Adds a frame; returns false if too many bytes are queued, since the other host does not read. */
         boolean add(ByteBuffer buffer) {
             synchronized (queue) {
@@ -288,6 +306,7 @@
                 }
                 queuedBytes += buffer.remaining();
                 queue.add(buffer);
+                busy = true;
             }
             return true;
         }
@@ -307,6 +326,9 @@
             if (part != null) {
                 buffers.addAll(List.of(part));
             }
+            synchronized (queue) {
+                busy = !buffers.isEmpty() || !queue.isEmpty();
+            }
             if (buffers.isEmpty()) {
                 return Action.IDLE;
             }
--- a/node/src/main/java/org/anvillatch/node/peer/PeerServer.java
+++ b/node/src/main/java/org/anvillatch/node/peer/PeerServer.java
@@ -1,5 +1,7 @@
 package org.anvillatch.node.peer;
 
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 
 import com.codahale.metrics.Counter;
@@ -80,6 +82,7 @@
     private final Counter refusedForMemory;
     private final Counter malformed;
     private final Counter bytesSent;
+    private final Set<PeerConnection> connections = ConcurrentHashMap.newKeySet();
 
     /**
      * Creates the connection factory.
@@ -101,7 +104,18 @@
 
     @Override
     public Connection newConnection(Connector connector, EndPoint endPoint) {
-        return configure(new PeerConnection(endPoint, executor, budget, this), connector, endPoint);
+        PeerConnection connection = new PeerConnection(endPoint, executor, budget, this);
+        connections.add(connection);
+        return configure(connection, connector, endPoint);
+    }
+
+    /**
+     * Returns the number of connections on which answers wait to be written. A planned stop waits for them.
+     *
+     * @return 0 or more
+     */
+    public int connectionsWriting() {
+        return (int) connections.stream().filter(PeerConnection::isWriting).count();
     }
 
     @Override
@@ -167,6 +181,7 @@
 
     @Override
     public void closed(PeerConnection connection) {
+        connections.remove(connection);
         handler.connectionClosed(connection);
     }
 }
--- a/node/src/main/java/org/anvillatch/node/peer/PeerTransfers.java
+++ b/node/src/main/java/org/anvillatch/node/peer/PeerTransfers.java
@@ -148,6 +148,11 @@
         return part;
     }
 
+    /** Returns whether an answer is not sent whole. */
+    synchronized boolean hasOutgoingAnswer() {
+        return outgoing.keySet().stream().anyMatch(Key::answer);
+    }
+
     private static ByteBuffer[] takePart(Outgoing transfer) {
         ByteBuffer segment = transfer.segments.peek();
         int length = Math.min(PART_BYTES, Math.min(segment.remaining(), transfer.permitted));
