--- a/node/src/main/java/org/anvillatch/node/membership/LeavingWitnesses.java
+++ b/node/src/main/java/org/anvillatch/node/membership/LeavingWitnesses.java
@@ -34,8 +34,17 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(LeavingWitnesses.class);
 
-    /** Maximum wait for a witness, in microseconds: endpoints wait about a second for the answer to a report. */
-    private static final long MESSAGE_TIMEOUT_MICROS = 700_000;
+    /**
+     * Maximum wait for the confirmation of a witness, in microseconds: endpoints wait about a second for the answer to a
+     * report.
+     */
+    private static final long RECORD_TIMEOUT_MICROS = 700_000;
+
+    /**
+     * Maximum wait for what a witness knows, in microseconds. Hosts are a few milliseconds apart; while the whole system
+     * starts, some of them are not reachable yet, and the endpoint waits for them.
+     */
+    private static final long ASK_TIMEOUT_MICROS = 300_000;
 
     /** Time between two checks whether the witnesses can be asked, in microseconds. */
     private static final long RECOVERY_CHECK_MICROS = 20_000;
@@ -47,6 +56,7 @@
     private final HostState state;
     private final PeerClient peers;
     private final MembershipService membership;
+    private final MetricRegistry metrics;
     private final LeavingRecords records = new LeavingRecords();
     private final List<RecoveryListener> waiting = new ArrayList<>();
     private Consumer<List<String>> recoveryListener = processes -> {};
@@ -73,8 +83,8 @@
         this.state = state;
         this.peers = peers;
         this.membership = membership;
+        this.metrics = metrics;
         metrics.register("endpoint.witnessed_hosts", (Gauge<Integer>) records::hosts);
-        metrics.register("endpoint.recovered", (Gauge<Integer>) () -> recovered ? 1 : 0);
     }
 
     /** Waits until it is known which processes of the endpoint are leaving. */
@@ -175,7 +185,7 @@
         int from = Math.max(0, processes.size() - LeavingRecords.MAX_PROCESSES);
         List<String> latest = List.copyOf(processes.subList(from, processes.size()));
         PeerMessage notice = new ControlMessages.LeavingNotice(hostName(), latest);
-        witnesses.forEach(witness -> peers.send(witness.address(), notice, MESSAGE_TIMEOUT_MICROS, round));
+        witnesses.forEach(witness -> peers.send(witness.address(), notice, RECORD_TIMEOUT_MICROS, round));
     }
 
     /**
@@ -187,6 +197,7 @@
     public void recover(Consumer<List<String>> listener) {
         recoveryListener = listener;
         startMicros = loop.nowMicros();
+        metrics.register("endpoint.recovered", (Gauge<Integer>) () -> recovered ? 1 : 0);
         loop.schedule(EndpointProcesses.MAX_LATENESS_MICROS, () -> {
             if (!recovered) {
                 // No witness is reachable. Reports that arrive from now on were sent after the start, the earlier ones
@@ -260,7 +271,7 @@
             }
         };
         PeerMessage query = new ControlMessages.LeavingQuery(hostName());
-        witnesses.forEach(witness -> peers.send(witness.address(), query, MESSAGE_TIMEOUT_MICROS, round));
+        witnesses.forEach(witness -> peers.send(witness.address(), query, ASK_TIMEOUT_MICROS, round));
     }
 
     private void finishRecovery(String source, List<String> processes) {
