--- a/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
+++ b/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
@@ -11,7 +11,6 @@
 import com.codahale.metrics.MetricRegistry;
 import org.anvillatch.decision.admission.AdmissionAction;
 import org.anvillatch.decision.admission.Gatekeeper;
-import org.anvillatch.decision.admission.GatekeeperStatus;
 import org.anvillatch.decision.admission.NestedCallStats;
 import org.anvillatch.decision.admission.Work;
 import org.anvillatch.decision.model.OperationName;
@@ -199,12 +198,13 @@
         executions.put(number, execution);
         endpointState.applySenderNotice(message.notice());
         EndpointAnnouncement endpoint = endpointState.endpoint();
+        RefusalReason revocation = message.context().revocationIn(state.routes());
         if (endpoint != null && !endpoint.service().equals(message.operation().service())) {
             refuse(execution, RefusalReason.NO_ENDPOINT, 0);
         } else if (state.isQuarantined(message.fingerprint())) {
             refuse(execution, RefusalReason.QUARANTINED, 0);
-        } else if (revocationOf(execution) != null) {
-            refuse(execution, revocationOf(execution), 0);
+        } else if (revocation != null) {
+            refuse(execution, revocation, 0);
         } else {
             Work work = new Work(
                     number,
@@ -237,8 +237,7 @@
         if (execution == null) {
             return;
         }
-        List<CallRouter.RoutedCall> nestedCalls = List.copyOf(execution.nestedCalls);
-        nestedCalls.forEach(CallRouter.RoutedCall::cancel);
+        List.copyOf(execution.nestedCalls).forEach(CallRouter.RoutedCall::cancel);
         if (execution.started) {
             execution.abort.run();
         } else {
@@ -258,12 +257,11 @@
      */
     public int refuseRevoked() {
         int refused = 0;
+        long now = loop.nowMicros();
         for (Execution execution : List.copyOf(executions.values())) {
-            RefusalReason reason = revocationOf(execution);
+            RefusalReason reason = execution.message.context().revocationIn(state.routes());
             if (reason != null
-                    && !state.gatekeeper()
-                            .cancel(execution.number, loop.nowMicros())
-                            .isEmpty()) {
+                    && !state.gatekeeper().cancel(execution.number, now).isEmpty()) {
                 refuse(execution, reason, 0);
                 refused++;
             }
@@ -271,11 +269,6 @@
         return refused;
     }
 
-    private RefusalReason revocationOf(Execution execution) {
-        CallContext context = execution.message.context();
-        return state.routes().revocationOf(context.keyId(), context.team());
-    }
-
     /**
      * Lets the gatekeeper update its shed level and refuse or start queued work. Repeated while work is queued or the
      * shed level is above 0.
@@ -358,8 +351,8 @@
     }
 
     private int executionsInFlight() {
-        GatekeeperStatus status = state.gatekeeper().status();
-        return status.running() + status.waiting();
+        return state.gatekeeper().status().running()
+                + state.gatekeeper().status().waiting();
     }
 
     /** Completes an execution; a sender on this host waits without a timeout, so it is answered also after a failure. */
@@ -430,12 +423,12 @@
         String host = state.membership().self().host().name();
         int level = state.gatekeeper().shedLevelFor(execution.message.operation(), loop.nowMicros());
         long queuedMicros = execution.startedMicros - execution.arrivedMicros + execution.nestedStats.queuedMicros();
-        boolean endpointFault =
-                EndpointAnswers.isEndpointFault(answer, execution.nestedFailed) && !execution.hasNestedCalls();
+        boolean nested = execution.hasNestedCalls();
+        boolean fault = EndpointAnswers.isEndpointFault(answer, execution.nestedFailed) && !nested;
         CallAnswer.LoadReport report = new CallAnswer.LoadReport(
-                level, executionsInFlight(), durationMicros, queuedMicros, endpointFault, endpointState.restriction());
-        return EndpointAnswers.toCallAnswer(
-                answer, host, report, execution.budget.remaining(), execution.hasNestedCalls(), suspicions);
+                level, executionsInFlight(), durationMicros, queuedMicros, fault, endpointState.restriction());
+        int unspent = execution.budget.remaining();
+        return EndpointAnswers.toCallAnswer(answer, host, report, unspent, nested, suspicions);
     }
 
     /**
@@ -448,12 +441,11 @@
     }
 
     private void record(Execution execution, String result, String reason, int level) {
-        DispatchMessage message = execution.message;
         String host = state.membership().self().host().name();
         decisions.record(
                 Decision.Kind.ADMIT,
-                message.context(),
-                message.operation(),
+                execution.message.context(),
+                execution.message.operation(),
                 new CallDecisionRecorder.DecisionDetails(host, result, reason, level, execution.budget.remaining()));
     }
 }
