--- a/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
+++ b/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
@@ -292,9 +292,8 @@
      * @return the execution, or null if no such execution is running
      */
     public Execution find(String name) {
-        int slash = name.lastIndexOf('/');
         try {
-            Execution execution = executions.get(Long.parseLong(name.substring(slash + 1)));
+            Execution execution = executions.get(Long.parseLong(name.substring(name.lastIndexOf('/') + 1)));
             return execution != null && execution.started && execution.name().equals(name) ? execution : null;
         } catch (NumberFormatException notANumber) {
             return null;
