--- a/node/src/main/java/org/anvillatch/node/PeerRequestHandler.java
+++ b/node/src/main/java/org/anvillatch/node/PeerRequestHandler.java
@@ -10,17 +10,19 @@
 import org.anvillatch.node.loop.HostState;
 import org.anvillatch.node.membership.LeavingWitnesses;
 import org.anvillatch.node.membership.MembershipService;
+import org.anvillatch.node.peer.AllowanceMessages;
 import org.anvillatch.node.peer.ControlMessages;
 import org.anvillatch.node.peer.PeerConnection;
 import org.anvillatch.node.peer.PeerMessage;
 import org.anvillatch.node.peer.PeerServer;
 import org.anvillatch.node.routes.RouteTableService;
+import org.anvillatch.node.team.TeamAllowanceService;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Handles the requests between hosts that do not depend on the interface to callers: dispatches, gossip and route
- * tables.
+ * Handles the requests between hosts that do not depend on the interface to callers: dispatches, gossip, route
+ * tables and allowances of teams.
  *
  * <p>Invariant: the dispatches of a connection are cancelled when it closes. Thread safe: requests are handled on the
  * decision loop.
@@ -34,6 +36,7 @@
     private final MembershipService membership;
     private final RouteTableService routes;
     private final LeavingWitnesses witnesses;
+    private final TeamAllowanceService allowances;
     private final Map<PeerServer.RequestOrigin, Long> dispatches = new HashMap<>();
 
     /**
@@ -45,6 +48,7 @@
      * @param membership handles gossip
      * @param routes returns the route table
      * @param witnesses keeps which endpoints of other hosts are leaving
+     * @param allowances handles requests for tokens of teams
      */
     public PeerRequestHandler(
             DecisionLoop loop,
@@ -52,13 +56,15 @@
             GatekeeperService gatekeeperService,
             MembershipService membership,
             RouteTableService routes,
-            LeavingWitnesses witnesses) {
+            LeavingWitnesses witnesses,
+            TeamAllowanceService allowances) {
         this.loop = loop;
         this.state = state;
         this.gatekeeperService = gatekeeperService;
         this.membership = membership;
         this.routes = routes;
         this.witnesses = witnesses;
+        this.allowances = allowances;
     }
 
     @Override
@@ -100,6 +106,10 @@
             witnesses.answer(notice, reply);
         } else if (message instanceof ControlMessages.LeavingQuery query) {
             witnesses.answer(query, reply);
+        } else if (message instanceof AllowanceMessages.TokensRequest request) {
+            reply.send(allowances.answer(request));
+        } else if (message instanceof AllowanceMessages.ClaimRequest request) {
+            reply.send(allowances.answer(request));
         } else if (message instanceof ControlMessages.ConnectionCheck) {
             reply.send(new ControlMessages.Acknowledge(true));
         } else {
