--- a/node/src/main/java/org/anvillatch/node/call/CallRouter.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallRouter.java
@@ -134,6 +134,10 @@
         private final RetryBudget budget;
         private final Set<String> triedHosts = new HashSet<>();
         private Runnable cancelDispatch = () -> {};
+
+        /** Host that has not answered the last dispatch, null if there is none. */
+        private Member dispatchedTo;
+
         private int remainingReroutes;
         private int overloadRefusals;
         private RefusalReason lastRefusal;
@@ -176,6 +180,9 @@
                 completed = true;
                 abandoned = true;
                 openCalls.remove(this);
+                if (dispatchedTo != null) {
+                    state.selector().recordAbandoned(dispatchedTo);
+                }
                 cancelDispatch.run();
             }
         }
@@ -238,8 +245,7 @@
             if (state.isQuarantined(call.fingerprint())) {
                 return RefusalReason.QUARANTINED;
             }
-            return state.routes()
-                    .revocationOf(call.context().keyId(), call.context().team());
+            return call.context().revocationIn(state.routes());
         }
 
         private void refuse(RefusalReason reason, int level) {
@@ -263,6 +269,7 @@
                     state.selector().noticeOf(host.host().name()),
                     progress());
             state.selector().recordSent(host);
+            dispatchedTo = host;
             if (host.host().equals(state.membership().self().host())) {
                 dispatchLocally(host, message);
             } else {
@@ -322,6 +329,7 @@
             LoadFeedback feedback = new LoadFeedback(
                     call.operation(), load.level(), load.inFlight(), duration, load.notice(), load.serviceTime());
             state.selector().recordAnswer(host, feedback, now);
+            dispatchedTo = null;
             if (answer.reason() == RefusalReason.DRAINING || answer.reason() == RefusalReason.NO_ENDPOINT) {
                 state.selector().recordLeaving(host, now);
             }
@@ -335,6 +343,7 @@
 
         private void handleFailure(Member host, PeerClient.PeerFailure failure) {
             state.selector().recordFailure(host, loop.nowMicros());
+            dispatchedTo = null;
             String name = host.host().name();
             if (failure == PeerClient.PeerFailure.NOT_SENT) {
                 String detail = "host " + name + " cannot be reached";
