--- a/node/src/main/java/org/anvillatch/node/call/CallContext.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallContext.java
@@ -1,5 +1,8 @@
 package org.anvillatch.node.call;
 
+import org.anvillatch.decision.model.RefusalReason;
+import org.anvillatch.decision.routing.ActiveRoutes;
+
 /**
  * Identity of a call within its root request. Immutable and thread safe.
  *
@@ -35,6 +38,16 @@
         this(root, attempt, path, rank, atMostOnce, traceparent, "", "");
     }
 
+    /**
+     * Returns the reason why the call must be refused, unless it has started, because its key was revoked.
+     *
+     * @param routes active routes and teams of the host
+     * @return the reason, or null if the key was not revoked
+     */
+    public RefusalReason revocationIn(ActiveRoutes routes) {
+        return routes.revocationOf(keyId, team);
+    }
+
     /**
      * Returns whether the call was made by an execution of another call.
      *
--- a/node/src/main/java/org/anvillatch/node/call/CallRouter.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallRouter.java
@@ -213,8 +213,7 @@
             if (state.isQuarantined(call.fingerprint())) {
                 return RefusalReason.QUARANTINED;
             }
-            return state.routes()
-                    .revocationOf(call.context().keyId(), call.context().team());
+            return call.context().revocationIn(state.routes());
         }
 
         private void refuse(RefusalReason reason, int level) {
--- a/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
+++ b/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
@@ -199,12 +199,13 @@
         executions.put(number, execution);
         endpointState.applySenderNotice(message.notice());
         EndpointAnnouncement endpoint = endpointState.endpoint();
+        RefusalReason revocation = message.context().revocationIn(state.routes());
         if (endpoint != null && !endpoint.service().equals(message.operation().service())) {
             refuse(execution, RefusalReason.NO_ENDPOINT, 0);
         } else if (state.isQuarantined(message.fingerprint())) {
             refuse(execution, RefusalReason.QUARANTINED, 0);
-        } else if (revocationOf(execution) != null) {
-            refuse(execution, revocationOf(execution), 0);
+        } else if (revocation != null) {
+            refuse(execution, revocation, 0);
         } else {
             Work work = new Work(
                     number,
@@ -253,12 +254,11 @@
      */
     public int refuseRevoked() {
         int refused = 0;
+        long now = loop.nowMicros();
         for (Execution execution : List.copyOf(executions.values())) {
-            RefusalReason reason = revocationOf(execution);
+            RefusalReason reason = execution.message.context().revocationIn(state.routes());
             if (reason != null
-                    && !state.gatekeeper()
-                            .cancel(execution.number, loop.nowMicros())
-                            .isEmpty()) {
+                    && !state.gatekeeper().cancel(execution.number, now).isEmpty()) {
                 refuse(execution, reason, 0);
                 refused++;
             }
@@ -266,11 +266,6 @@
         return refused;
     }
 
-    private RefusalReason revocationOf(Execution execution) {
-        CallContext context = execution.message.context();
-        return state.routes().revocationOf(context.keyId(), context.team());
-    }
-
     /**
      * Lets the gatekeeper update its shed level and refuse or start queued work. Repeated while work is queued or the
      * shed level is above 0.
