--- a/decision/src/main/java/org/anvillatch/decision/allowance/Allowance.java
+++ b/decision/src/main/java/org/anvillatch/decision/allowance/Allowance.java
@@ -16,7 +16,7 @@
     public static final int MAX_SLOTS = 16;
 
     /** Minimum validity of tokens, in microseconds; an owner's answer that takes longer is not used. */
-    public static final long MIN_VALIDITY_MICROS = 100_000;
+    public static final long MIN_VALIDITY_MICROS = 200_000;
 
     private static final long MAX_VALIDITY_MICROS = 1_000_000;
     private static final double MICROS_PER_SECOND = 1_000_000;
