--- a/decision/src/main/java/org/anvillatch/decision/allowance/AllowanceAgent.java
+++ b/decision/src/main/java/org/anvillatch/decision/allowance/AllowanceAgent.java
@@ -22,6 +22,7 @@
     private final AllowanceCounts counts = new AllowanceCounts();
     private final Map<String, TeamStock> stocks = new HashMap<>();
     private Map<String, Allowance> allowances = Map.of();
+    private int missingHosts;
     private boolean ownsAlone;
 
     /**
@@ -56,7 +57,7 @@
                 stocks.remove(team).drainWaiting().forEach(ticket -> actions.add(new AllowanceAction.Grant(ticket)));
             }
         }
-        owned.update(allowances, view.roster(), ownsAlone, nowMicros);
+        owned.update(allowances, view.roster(), missingHosts, ownsAlone, nowMicros);
         return actions;
     }
 
@@ -64,14 +65,16 @@
      * Applies a view of the hosts.
      *
      * @param hosts all hosts that are known and have not left
+     * @param missing number of hosts that exist but are not known
      * @param mayOwnAlone whether this host owns all slots if it knows no other host
      * @param nowMicros current time in microseconds
      */
-    public void updateHosts(List<Roster.Host> hosts, boolean mayOwnAlone, long nowMicros) {
+    public void updateHosts(List<Roster.Host> hosts, int missing, boolean mayOwnAlone, long nowMicros) {
         boolean changed = view.update(hosts);
-        if (changed || mayOwnAlone != ownsAlone) {
+        if (changed || missing != missingHosts || mayOwnAlone != ownsAlone) {
+            missingHosts = missing;
             ownsAlone = mayOwnAlone;
-            owned.update(allowances, view.roster(), ownsAlone, nowMicros);
+            owned.update(allowances, view.roster(), missingHosts, ownsAlone, nowMicros);
         }
     }
 
--- a/decision/src/main/java/org/anvillatch/decision/allowance/OwnedSlots.java
+++ b/decision/src/main/java/org/anvillatch/decision/allowance/OwnedSlots.java
@@ -57,6 +57,7 @@
     private Map<String, Allowance> allowances = Map.of();
     private Roster roster = new Roster(List.of());
     private boolean ownsAlone;
+    private double knownFraction = 1;
 
     /**
      * Creates the state of a host that owns no slot.
@@ -72,13 +73,21 @@
      *
      * @param newAllowances allowances by team
      * @param newRoster hosts
+     * @param missingHosts number of hosts that exist but are not known
      * @param mayOwnAlone whether this host owns all slots if it knows no other host
      * @param nowMicros current time in microseconds
      */
-    void update(Map<String, Allowance> newAllowances, Roster newRoster, boolean mayOwnAlone, long nowMicros) {
+    void update(
+            Map<String, Allowance> newAllowances,
+            Roster newRoster,
+            int missingHosts,
+            boolean mayOwnAlone,
+            long nowMicros) {
         allowances = newAllowances;
         roster = newRoster;
         ownsAlone = mayOwnAlone;
+        // The missing hosts may own the same slots, so each side of a partition grants in proportion to its hosts.
+        knownFraction = roster.size() / Math.max(1.0, roster.size() + missingHosts);
         Map<SlotId, Allowance> ranked = new HashMap<>();
         for (Allowance allowance : allowances.values()) {
             for (SlotId slot : slotsOf(allowance)) {
@@ -108,9 +117,8 @@
         if (current == null) {
             claimsDueMicros.putIfAbsent(slot, nowMicros);
         } else {
-            int domains = roster.domains().size();
             current.allowance = allowance;
-            current.bucket.configure(allowance.rateOf(slot, domains), allowance.capacityOf(slot, domains), nowMicros);
+            current.bucket.configure(rateOf(slot, allowance), capacityOf(slot, allowance), nowMicros);
         }
     }
 
@@ -156,12 +164,18 @@
     private void own(SlotId slot, long nowMicros) {
         claimsDueMicros.remove(slot);
         Allowance allowance = allowances.get(slot.team());
-        int domains = roster.domains().size();
-        SlotBucket bucket =
-                new SlotBucket(allowance.rateOf(slot, domains), allowance.capacityOf(slot, domains), nowMicros);
+        SlotBucket bucket = new SlotBucket(rateOf(slot, allowance), capacityOf(slot, allowance), nowMicros);
         owned.put(slot, new OwnedSlot(bucket, allowance));
     }
 
+    private double rateOf(SlotId slot, Allowance allowance) {
+        return knownFraction * allowance.rateOf(slot, roster.domains().size());
+    }
+
+    private double capacityOf(SlotId slot, Allowance allowance) {
+        return knownFraction * allowance.capacityOf(slot, roster.domains().size());
+    }
+
     /**
      * Answers a request for tokens.
      *
--- a/decision/src/main/java/org/anvillatch/decision/membership/Membership.java
+++ b/decision/src/main/java/org/anvillatch/decision/membership/Membership.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 import org.anvillatch.decision.drain.EndpointPhase;
@@ -183,12 +185,14 @@
     }
 
     /**
-     * Returns whether this host knows an address at which another host may be found.
+     * Returns the number of seeds at whose address no host is known.
      *
-     * @return false if no seed was given or found yet
+     * @return 0 if the view has a host for each seed
      */
-    public boolean hasSeeds() {
-        return !seeds.isEmpty();
+    public int unknownSeeds() {
+        Set<String> known = new HashSet<>();
+        members.values().forEach(member -> known.add(member.address()));
+        return (int) seeds.stream().filter(seed -> !known.contains(seed)).count();
     }
 
     /** Pings one dead host: after a partition, two hosts that consider each other dead would not make contact again. */
--- a/decision/src/test/java/org/anvillatch/decision/allowance/AllowanceAgentTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/allowance/AllowanceAgentTest.java
@@ -34,7 +34,7 @@
         AllowanceAgent agent = new AllowanceAgent(host.name(), host.domain(), new SplittableRandom(1));
         agents.put(host.name(), agent);
         agent.updateAllowances(List.of(allowance), now);
-        agent.updateHosts(known, false, now);
+        agent.updateHosts(known, 0, false, now);
         return agent;
     }
 
@@ -117,17 +117,25 @@
         assertThat(request("left", 1)).isEqualTo(0);
     }
 
+    /** Guards against sides of a partition that grant everything each, after all their hosts have restarted. */
+    @Test
+    void hostsThatMissOthersGrantInProportion() {
+        startBoth(SMALL);
+        agents.values().forEach(agent -> agent.updateHosts(BOTH, 4, true, now));
+        assertThat(request("left", 4) + request("right", 4)).isEqualTo(2);
+    }
+
     /** Guards against two owners of a slot while a host that joins is known to only some others. */
     @Test
     void slotIsNotOwnedWhileTheSecondHostDoesNotKnowTheFirst() {
         String first = startBoth(SMALL);
         start(first.equals("left") ? LEFT : RIGHT, SMALL, BOTH);
         AllowanceAgent second = agents.get(other(first));
-        second.updateHosts(List.of(other(first).equals("left") ? LEFT : RIGHT), true, now);
+        second.updateHosts(List.of(other(first).equals("left") ? LEFT : RIGHT), 0, true, now);
         pass(10 * SECOND);
         assertThat(second.ownedSlots()).isEqualTo(2);
         assertThat(agents.get(first).ownedSlots()).isEqualTo(0);
-        second.updateHosts(BOTH, true, now);
+        second.updateHosts(BOTH, 0, true, now);
         pass(SECOND);
         pass(SECOND);
         assertThat(agents.get(first).ownedSlots() + second.ownedSlots()).isEqualTo(2);
--- a/decision/src/test/java/org/anvillatch/decision/allowance/AllowanceLossTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/allowance/AllowanceLossTest.java
@@ -56,6 +56,15 @@
         assertWithMessage("share refused").that(lossOf(model, "calm")).isLessThan(0.02);
     }
 
+    /** Guards against answers that are taken for lost on busy machines; with a time limit of 100 ms a sixth was refused. */
+    @Test
+    void almostNothingIsRefusedWhileMessagesAreSlow() {
+        AllowanceModel model = createModel(4);
+        model.maxDelay = 80_000;
+        model.run(DURATION);
+        assertWithMessage("share refused").that(lossOf(model, "slow messages")).isLessThan(0.02);
+    }
+
     @Test
     void littleIsRefusedBelowTheAllowanceWhileADomainIsPartitioned() {
         AllowanceModel model = createModel(2);
--- a/decision/src/test/java/org/anvillatch/decision/allowance/AllowanceModel.java
+++ b/decision/src/test/java/org/anvillatch/decision/allowance/AllowanceModel.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.ToIntFunction;
@@ -47,6 +49,8 @@
         private int incarnation;
         private long pausedUntil;
         private int side;
+        private boolean configured;
+        private final Set<String> directory = new HashSet<>();
 
         private SimulatedHost(String name, String domain) {
             this.name = name;
@@ -62,11 +66,32 @@
             agent = new AllowanceAgent(name, domain, random.split());
             known.clear();
             known.put(name, new Known(domain, incarnation, now, false));
-            agent.updateAllowances(allowances, now);
+            directory.clear();
+            configured = false;
+            readStore();
             later(this, 0, this::gossip);
             later(this, random.nextLong(TICK_PERIOD), this::tick);
         }
 
+        /** The store has the configuration and the names of all hosts; the hosts of one side reach it. */
+        private void readStore() {
+            if (side == 0 && !configured) {
+                directory.addAll(registered);
+                configure();
+            }
+            registered.add(name);
+        }
+
+        private void configure() {
+            configured = true;
+            agent.updateAllowances(allowances, now);
+        }
+
+        private int missing() {
+            return (int)
+                    directory.stream().filter(host -> !known.containsKey(host)).count();
+        }
+
         void crash() {
             agent = null;
             incarnation++;
@@ -106,6 +131,10 @@
             }
             peer.known.forEach((key, value) -> known.merge(key, value, Known::newer));
             known.forEach((key, value) -> peer.known.merge(key, value, Known::newer));
+            readStore();
+            if (configured != peer.configured) {
+                (configured ? peer : this).configure();
+            }
             updateView();
             peer.updateView();
             later(this, GOSSIP_PERIOD, this::gossip);
@@ -120,11 +149,14 @@
                 }
             });
             if (agent != null) {
-                agent.updateHosts(view, false, now);
+                agent.updateHosts(view, missing(), false, now);
             }
         }
 
         void request(String team) {
+            if (!configured) {
+                return;
+            }
             long ticket = nextNumber++;
             teamByTicket.put(ticket, team);
             perform(agent.acquire(team, ticket, now));
@@ -172,10 +204,12 @@
 
     final SplittableRandom random;
     final Map<String, SimulatedHost> hosts = new TreeMap<>();
+    private final Set<String> registered = new HashSet<>();
     final List<Decided> decisions = new ArrayList<>();
     final List<Allowance> allowances;
     double lossRate;
     double delayRate;
+    long maxDelay = 800;
     double releaseRate;
     long now;
     long messages;
@@ -221,7 +255,7 @@
         if (from.side != to.side || random.nextDouble() < lossRate) {
             return;
         }
-        long delay = 200 + random.nextLong(800);
+        long delay = 200 + random.nextLong(maxDelay);
         if (random.nextDouble() < delayRate) {
             delay += random.nextLong(2 * SECOND);
         }
--- a/node/src/main/java/org/anvillatch/node/team/TeamAllowanceService.java
+++ b/node/src/main/java/org/anvillatch/node/team/TeamAllowanceService.java
@@ -47,10 +47,10 @@
     private static final long CLAIM_TIMEOUT_MICROS = 400_000;
 
     /**
-     * Time after which a host that never had the address of another owns all slots, in microseconds. By then it has read
-     * the directory of hosts, if it has one.
+     * Time after which a host that knows no other one owns slots, in microseconds. By then it has read the directory of
+     * hosts, if it has one.
      */
-    private static final long ALONE_MICROS = 2_000_000;
+    private static final long ALONE_MICROS = 3_000_000;
 
     /** Sends requests to other hosts. */
     public interface Sender {
@@ -76,6 +76,7 @@
     private long nextTicket;
     private long membershipVersion = -1;
     private MemberStatus ownStatus;
+    private int missingHosts;
     private boolean mayOwnAlone;
 
     private record PendingRequest(String team, Consumer<Verdict> reply) {}
@@ -157,12 +158,19 @@
 
     private void updateHosts() {
         Membership membership = state.membership();
-        boolean alone = isAlone(membership);
+        long age = loop.nowMicros() - startMicros;
+        // Seeds may be hosts that are gone for good; gossip forgets those after the same time.
+        int missing = age > Membership.DEAD_RETENTION_MICROS ? 0 : membership.unknownSeeds();
+        boolean alone = membership.size() > 1 || age > ALONE_MICROS;
         MemberStatus status = membership.self().status();
-        if (membership.version() == membershipVersion && alone == mayOwnAlone && status == ownStatus) {
+        if (membership.version() == membershipVersion
+                && missing == missingHosts
+                && alone == mayOwnAlone
+                && status == ownStatus) {
             return;
         }
         membershipVersion = membership.version();
+        missingHosts = missing;
         mayOwnAlone = alone;
         ownStatus = status;
         List<Roster.Host> hosts = new ArrayList<>();
@@ -172,15 +180,7 @@
                         member.host().name(), member.domain(), member.status().isPresent()));
             }
         }
-        agent.updateHosts(hosts, alone, loop.nowMicros());
-    }
-
-    /** Returns whether a view without another host is complete, and not that of a host that has reached none yet. */
-    private boolean isAlone(Membership membership) {
-        long age = loop.nowMicros() - startMicros;
-        return membership.size() > 1
-                || age > Membership.DEAD_RETENTION_MICROS
-                || !membership.hasSeeds() && age > ALONE_MICROS;
+        agent.updateHosts(hosts, missing, alone, loop.nowMicros());
     }
 
     private void perform(List<AllowanceAction> actions) {
