--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -4,10 +4,12 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.stream.Collectors;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import org.anvillatch.decision.admission.Gatekeeper;
+import org.anvillatch.decision.configuration.Configuration;
 import org.anvillatch.decision.configuration.ConfigurationReducer;
 import org.anvillatch.decision.drain.EndpointPhase;
 import org.anvillatch.decision.idempotency.IdempotencyLedger;
@@ -31,8 +33,10 @@
 import org.anvillatch.node.decisionlog.DecisionLog;
 import org.anvillatch.node.endpoint.EndpointClient;
 import org.anvillatch.node.endpoint.EndpointHandler;
+import org.anvillatch.node.listener.ConnectionGuard;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
+import org.anvillatch.node.membership.LeavingWitnesses;
 import org.anvillatch.node.membership.MembershipService;
 import org.anvillatch.node.memory.MemoryBudget;
 import org.anvillatch.node.operator.ChangeCommand;
@@ -133,18 +137,21 @@
                 gatekeeperService,
                 membershipService,
                 new RouteTableService(loop, state, peers),
+                new LeavingWitnesses(loop, state, peers, membershipService, metrics),
                 allowances);
         NodePeerHandler peerHandler = new NodePeerHandler(
                 loop,
                 new NodePeerHandler.Services(
                         commonHandler, idempotencyService, configurationService, questions, this::status));
+        ConnectionGuard guard = new ConnectionGuard(scheduler, budget, metrics);
         NodeServer server = new NodeServer(
                 settings,
                 threads,
                 scheduler,
+                guard,
                 new NodeServer.Handlers(callHandler, new KeyHandler(loop, state), endpointHandler, commands),
                 new PeerServer(threads, peerHandler, budget, metrics));
-        services = List.of(loop, log, nodeThreads, peers, endpointClient, platform, server);
+        services = List.of(loop, log, nodeThreads, guard, peers, endpointClient, platform, server);
         registerMetrics();
     }
 
@@ -238,10 +245,26 @@
     }
 
     private void configurationChanged() {
+        applyTeams();
         state.suspects().release(state.configuration().current().released());
         gatekeeperService.endpointState().applyDrain();
     }
 
+    private void applyTeams() {
+        Configuration current = state.configuration().current();
+        state.routes()
+                .replaceTeams(
+                        current.teamList(),
+                        current.operations().values().stream()
+                                .map(current::importance)
+                                .collect(Collectors.toSet()));
+        callHandler.teamAdmission().teamsChanged();
+        int refused = gatekeeperService.refuseRevoked();
+        if (refused > 0) {
+            LOG.info("queued requests of revoked keys refused={}", refused);
+        }
+    }
+
     private HostStatus status() {
         Member self = state.membership().self();
         return new HostStatus(
--- a/node/src/main/java/org/anvillatch/node/PeerRequestHandler.java
+++ b/node/src/main/java/org/anvillatch/node/PeerRequestHandler.java
@@ -8,6 +8,7 @@
 import org.anvillatch.node.call.GatekeeperService;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
+import org.anvillatch.node.membership.LeavingWitnesses;
 import org.anvillatch.node.membership.MembershipService;
 import org.anvillatch.node.peer.AllowanceMessages;
 import org.anvillatch.node.peer.ControlMessages;
@@ -34,6 +35,7 @@
     private final GatekeeperService gatekeeperService;
     private final MembershipService membership;
     private final RouteTableService routes;
+    private final LeavingWitnesses witnesses;
     private final TeamAllowanceService allowances;
     private final Map<PeerServer.RequestOrigin, Long> dispatches = new HashMap<>();
 
@@ -45,6 +47,7 @@
      * @param gatekeeperService handles dispatches
      * @param membership handles gossip
      * @param routes returns the route table
+     * @param witnesses keeps which endpoints of other hosts are leaving
      * @param allowances handles requests for tokens of teams
      */
     public PeerRequestHandler(
@@ -53,12 +56,14 @@
             GatekeeperService gatekeeperService,
             MembershipService membership,
             RouteTableService routes,
+            LeavingWitnesses witnesses,
             TeamAllowanceService allowances) {
         this.loop = loop;
         this.state = state;
         this.gatekeeperService = gatekeeperService;
         this.membership = membership;
         this.routes = routes;
+        this.witnesses = witnesses;
         this.allowances = allowances;
     }
 
@@ -97,6 +102,10 @@
             reply.send(new ControlMessages.Acknowledge(true));
         } else if (message instanceof ControlMessages.RouteTableRequest) {
             reply.send(routes.answer());
+        } else if (message instanceof ControlMessages.LeavingNotice notice) {
+            witnesses.answer(notice, reply);
+        } else if (message instanceof ControlMessages.LeavingQuery query) {
+            witnesses.answer(query, reply);
         } else if (message instanceof AllowanceMessages.TokensRequest request) {
             reply.send(allowances.answer(request));
         } else if (message instanceof AllowanceMessages.ClaimRequest request) {
--- a/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
+++ b/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
@@ -246,6 +246,11 @@
         }
     }
 
+    /** Cancels all dispatches; each is still answered. */
+    public void cancelAll() {
+        List.copyOf(executions.keySet()).forEach(this::cancel);
+    }
+
     /**
      * Refuses the queued root requests whose API keys no longer belong to their teams.
      *
