Assume that an endpoint that was never used is as fast as the fastest candidate

Cause: a sender assumed 1 ms, so that a joining endpoint got nothing while a known one that answers faster was idle, and too many calls at once beside slower ones.

--- a/decision/src/main/java/org/anvillatch/decision/routing/EndpointLoad.java
+++ b/decision/src/main/java/org/anvillatch/decision/routing/EndpointLoad.java
@@ -26,7 +26,10 @@
     private int inFlight;
     private int reportedInFlight;
     private long reportedMicros = -REPORT_FRESH_MICROS;
-    private double latencyMicros = 1_000;
+
+    /** Mean duration of calls to the endpoint, 0 before the first answer. */
+    private double latencyMicros;
+
     private int consecutiveFailures;
     private long ejectedUntilMicros;
 
@@ -41,7 +44,8 @@
         reportedMicros = nowMicros;
         levels.put(feedback.operation(), new DecayingLevel(feedback.level(), nowMicros));
         if (feedback.durationMicros() > 0) {
-            latencyMicros += (feedback.durationMicros() - latencyMicros) * LATENCY_EWMA_WEIGHT;
+            double weight = latencyMicros == 0 ? 1 : LATENCY_EWMA_WEIGHT;
+            latencyMicros += (feedback.durationMicros() - latencyMicros) * weight;
         }
     }
 
@@ -67,10 +71,12 @@
     }
 
     /**
-     * Returns utilization times service time; an advertised service time takes precedence over this sender's estimate.
+     * Returns the service time; an advertised one takes precedence over this sender's estimate.
+     *
+     * @return microseconds, or 0 if the endpoint has not answered yet
      */
-    double cost(int slots, long advertisedMicros, long nowMicros) {
-        return utilization(slots, nowMicros) * (advertisedMicros > 0 ? advertisedMicros : latencyMicros);
+    double serviceTimeMicros(long advertisedMicros) {
+        return advertisedMicros > 0 ? advertisedMicros : latencyMicros;
     }
 
     /** Returns the ratio of calls to slots with one more call; it exceeds 1 if calls would be queued. */
--- a/decision/src/main/java/org/anvillatch/decision/routing/EndpointSelector.java
+++ b/decision/src/main/java/org/anvillatch/decision/routing/EndpointSelector.java
@@ -201,13 +201,16 @@
     private Member cheapest(List<Member> candidates, Request request, long nowMicros) {
         Member best = null;
         double bestCost = Double.MAX_VALUE;
+        double fastest = fastestServiceTime(candidates);
         for (Member member : candidates) {
             EndpointLoad load = load(member);
             if (load.level(request.operation(), nowMicros) > request.rank()) {
                 continue;
             }
-            double cost = load.cost(member.slots(), member.serviceTimeMicros(), nowMicros) * domainFactor(member);
-            if (cost < bestCost) {
+            double known = load.serviceTimeMicros(member.serviceTimeMicros());
+            double serviceTime = known > 0 ? known : fastest;
+            double cost = load.utilization(member.slots(), nowMicros) * serviceTime * domainFactor(member);
+            if (cost < bestCost || cost == bestCost && known == 0) {
                 bestCost = cost;
                 best = member;
             }
@@ -215,6 +218,19 @@
         return best;
     }
 
+    /**
+     * Returns the lowest known service time. An endpoint that was never used is assumed to be as fast: with a fixed
+     * assumption, it gets nothing while a faster one is idle, or all calls at once if the others are slower.
+     */
+    private double fastestServiceTime(List<Member> candidates) {
+        double fastest = Double.MAX_VALUE;
+        for (Member member : candidates) {
+            double known = load(member).serviceTimeMicros(member.serviceTimeMicros());
+            fastest = known > 0 ? Math.min(fastest, known) : fastest;
+        }
+        return fastest == Double.MAX_VALUE ? 1 : fastest;
+    }
+
     private double domainFactor(Member member) {
         return isInOwnDomain(member) ? 1 : CROSS_DOMAIN_COST_FACTOR;
     }
--- a/decision/src/test/java/org/anvillatch/decision/routing/EndpointSelectorTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/routing/EndpointSelectorTest.java
@@ -78,6 +78,25 @@
         assertThat(sent).isEqualTo(good.slots());
     }
 
+    /** Guards against a joining endpoint that gets nothing because another one answers faster than was assumed of it. */
+    @Test
+    void joiningEndpointGetsWorkWhileAKnownFasterOneIsIdle() {
+        Member known = member("known", "d1", EndpointPhase.SERVING, MemberStatus.ALIVE);
+        Member joining = member("other", "d1", EndpointPhase.SERVING, MemberStatus.ALIVE);
+        addMembers(known);
+        int sentToJoining = 0;
+        for (int calls = 0; calls < 1_560; calls++) {
+            if (calls == 100) {
+                addMembers(joining);
+            }
+            Member chosen = choose(0, Set.of(), Set.of()).host();
+            selector.recordSent(chosen);
+            selector.recordAnswer(chosen, new LoadFeedback(OPERATION, 0, 0, 200, null), NOW);
+            sentToJoining += chosen.equals(joining) ? 1 : 0;
+        }
+        assertThat(sentToJoining).isGreaterThan(0);
+    }
+
     private static Member memberWithServiceTime(String name, String domain, long serviceTimeMicros) {
         return new Member(
                 new HostIdentity(name, 1),
