--- a/decision/src/main/java/org/anvillatch/decision/routing/RequestRoute.java
+++ b/decision/src/main/java/org/anvillatch/decision/routing/RequestRoute.java
@@ -14,6 +14,7 @@
  * @param targetLatencyMillis target for the latency of an answer, in milliseconds
  * @param importance order of refusal, 0 to 15; the highest importance is refused last
  * @param maxAttempts maximum number of endpoints to which one request is sent, at least 1
+ * @param isPublic whether requests need no API key
  */
 public record RequestRoute(
         String name,
@@ -24,7 +25,8 @@
         long timeoutMillis,
         long targetLatencyMillis,
         int importance,
-        int maxAttempts) {
+        int maxAttempts,
+        boolean isPublic) {
     /** Copies the list of services. */
     public RequestRoute {
         services = List.copyOf(services);
--- a/decision/src/test/java/org/anvillatch/decision/routing/ActiveRoutesTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/routing/ActiveRoutesTest.java
@@ -1,10 +1,14 @@
 package org.anvillatch.decision.routing;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 
+import org.anvillatch.decision.model.RefusalReason;
+import org.anvillatch.decision.team.ApiKeyHash;
+import org.anvillatch.decision.team.Team;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -15,7 +19,7 @@
     private final SplittableRandom random = new SplittableRandom(3);
 
     private static RequestRoute route(String name, String prefix, WeightedService... services) {
-        return new RequestRoute(name, "book.example", prefix, List.of(services), true, 800, 500, 14, 2);
+        return new RequestRoute(name, "book.example", prefix, List.of(services), true, 800, 500, 14, 2, false);
     }
 
     private static RouteTable table(long version, RequestRoute... routes) {
@@ -56,6 +60,54 @@
         assertThat(matchedName("book.example", "/x")).isEqualTo("new");
     }
 
+    private static RouteTable tableWithTeams(long version, List<Team> teams) {
+        return new RouteTable(version, List.of(), Map.of(), new RequestLimits(1, 1, 1), teams);
+    }
+
+    /** Guards against a host of an earlier version, which forwards tables without their teams, that disables the keys. */
+    @Test
+    void tableThatLacksTheTeamsReplacesNoTableWithTeams() {
+        Team blue = new Team("blue", Team.NO_IMPORTANCE, 0, 0, List.of(ApiKeyHash.of("a")));
+        assertThat(routes.updateIfNewer(tableWithTeams(1, null))).isTrue();
+        assertThat(routes.updateIfNewer(tableWithTeams(1, List.of(blue)))).isTrue();
+        assertThat(routes.updateIfNewer(tableWithTeams(2, null))).isFalse();
+        assertThat(routes.teams().findByKey(ApiKeyHash.of("a"))).hasValue(blue);
+        assertThat(routes.teams().findByKey(ApiKeyHash.of("b"))).isEmpty();
+        assertThat(routes.updateIfNewer(tableWithTeams(3, List.of()))).isTrue();
+        assertThat(routes.teams().isEmpty()).isTrue();
+    }
+
+    @Test
+    void importanceOfTheTeamGoesBeforeThatOfTheRoute() {
+        RequestRoute low = new RequestRoute("low", "h", "/", List.of(service("a", 1)), true, 1, 1, 2, 1, false);
+        RequestRoute high = new RequestRoute("high", "h", "/h/", List.of(service("a", 1)), true, 1, 1, 9, 1, false);
+        List<Team> teams = List.of(new Team("gold", 15, 0, 0, List.of()), new Team("iron", 3, 0, 0, List.of()));
+        routes.updateIfNewer(new RouteTable(1, List.of(low, high), Map.of(), new RequestLimits(1, 1, 1), teams));
+        assertThat(routes.importanceOf("iron", high)).isGreaterThan(routes.importanceOf("iron", low));
+        assertThat(routes.importanceOf("gold", low)).isGreaterThan(routes.importanceOf("iron", high));
+        assertThat(routes.importanceOf("gold", high)).isGreaterThan(routes.importanceOf("gold", low));
+        assertThat(routes.importancesInUse()).hasSize(4);
+    }
+
+    /** Guards against memory that grows with each replaced key, and against a key that stays revoked when it returns. */
+    @Test
+    void revokedKeysAreBoundedAndEndWhenTheKeyReturns() {
+        String first = ApiKeyHash.of("0");
+        for (int version = 0; version <= 30; version++) {
+            List<String> hashes = new ArrayList<>();
+            for (int key = 0; key < 1_000; key++) {
+                hashes.add(ApiKeyHash.of(version * 1_000 + key + ""));
+            }
+            routes.updateIfNewer(tableWithTeams(version, List.of(new Team("blue", Team.NO_IMPORTANCE, 0, 0, hashes))));
+        }
+        String late = ApiKeyHash.of("29000");
+        assertThat(routes.revocationOf(ApiKeyHash.idOf(first), "blue")).isNull();
+        assertThat(routes.revocationOf(ApiKeyHash.idOf(late), "blue")).isEqualTo(RefusalReason.UNAUTHENTICATED);
+        Team blue = new Team("blue", Team.NO_IMPORTANCE, 0, 0, List.of(late));
+        routes.updateIfNewer(tableWithTeams(31, List.of(blue)));
+        assertThat(routes.revocationOf(ApiKeyHash.idOf(late), "blue")).isNull();
+    }
+
     @Test
     void weightsHoldOverFewRequestsOnEveryHost() {
         RequestRoute split = route("split", "/", service("a", 90), service("b", 10));
--- a/node/src/main/java/org/anvillatch/node/call/CallAnswer.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallAnswer.java
@@ -93,6 +93,16 @@
             this(level, inFlight, durationMicros, queuedMicros, endpointFault, notice, List.of(), false);
         }
 
+        /**
+         * Returns whether a service rejects so many requests that its gatekeepers grant the retries.
+         *
+         * @param service name of the service
+         * @return true if the report names it
+         */
+        public boolean namesRejecting(String service) {
+            return rejections.stream().anyMatch(rejection -> rejection.service().equals(service));
+        }
+
         /**
          * Returns a copy of this report with the rejecting services.
          *
@@ -189,6 +199,27 @@
                 outcome, reason, status, body, retries, report, firstOutcome, host, detail, suspicions, headers);
     }
 
+    /**
+     * Returns a copy of this answer with another body.
+     *
+     * @param newBody the body
+     * @return the copy
+     */
+    public CallAnswer withBody(CallBody newBody) {
+        return new CallAnswer(
+                outcome,
+                reason,
+                status,
+                newBody,
+                unspentRetries,
+                report,
+                firstOutcome,
+                host,
+                detail,
+                suspicions,
+                headers);
+    }
+
     /**
      * Returns a copy of this answer with another load report.
      *
--- a/node/src/main/java/org/anvillatch/node/call/CallRouter.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallRouter.java
@@ -216,7 +216,11 @@
             if (now >= call.deadlineMicros()) {
                 return RefusalReason.DEADLINE;
             }
-            return state.isQuarantined(call.fingerprint()) ? RefusalReason.QUARANTINED : null;
+            if (state.isQuarantined(call.fingerprint())) {
+                return RefusalReason.QUARANTINED;
+            }
+            return state.routes()
+                    .revocationOf(call.context().keyId(), call.context().team());
         }
 
         private void refuse(RefusalReason reason, int level) {
@@ -322,6 +326,9 @@
 
         private void retryOrComplete(Member host, CallAnswer answer) {
             if (answer.outcome().mayHaveRun()) {
+                if (possiblyExecuted != null) {
+                    possiblyExecuted.body().release();
+                }
                 possiblyExecuted = answer;
             }
             if (mayRetry(answer)
@@ -329,12 +336,20 @@
                     && (tryFreeReroute(answer) || tryUseRetry(answer))) {
                 lastRefusal = answer.reason();
                 triedHosts.add(host.host().name());
+                releaseUnlessKept(answer);
                 dispatchToNextHost();
                 return;
             }
             complete(answer.withUnspentRetries(budget.remaining()));
         }
 
+        /** Releases the body of an answer that is not delivered, unless it may still be. */
+        private void releaseUnlessKept(CallAnswer answer) {
+            if (possiblyExecuted == null || possiblyExecuted.body() != answer.body()) {
+                answer.body().release();
+            }
+        }
+
         /**
          * Counts an overload refusal of a root request and returns whether the limit of reroutes is exceeded. Nested
          * calls have no such limit, since refusing one wastes the work of its parent calls.
@@ -366,9 +381,7 @@
         private boolean tryUseRetry(CallAnswer answer) {
             boolean granted = answer.report().retryGranted();
             boolean grantsOnly = answer.reason() == RefusalReason.ENDPOINT_REJECTED
-                    && answer.report().rejections().stream()
-                            .anyMatch(rejection ->
-                                    rejection.service().equals(call.operation().service()));
+                    && answer.report().namesRejecting(call.operation().service());
             if (budget.remaining() == 0
                     || !granted && (grantsOnly || !retryBucket(call).trySpend())) {
                 return false;
@@ -388,7 +401,9 @@
         private boolean mayRetry(CallAnswer answer) {
             boolean otherHostAllowed =
                     answer.reason() == null || answer.reason().permitsAnotherEndpoint();
+            // The body of a call is released when a large answer to it has begun.
             return !cancelled
+                    && !(call.body().isLarge() && call.body().isReleased())
                     && otherHostAllowed
                     && answer.suspicions().isEmpty()
                     && permitsRetry(answer)
@@ -412,6 +427,9 @@
             CallAnswer answer = lastAnswer.outcome() == Outcome.NOT_RUN && possiblyExecuted != null
                     ? possiblyExecuted.withUnspentRetries(lastAnswer.unspentRetries())
                     : lastAnswer;
+            if (possiblyExecuted != null && possiblyExecuted.body() != answer.body()) {
+                possiblyExecuted.body().release();
+            }
             if (completed) {
                 throw new IllegalStateException("call " + call.context().path() + " was already answered");
             }
--- a/node/src/main/java/org/anvillatch/node/call/DispatchMessage.java
+++ b/node/src/main/java/org/anvillatch/node/call/DispatchMessage.java
@@ -31,4 +31,15 @@
         RequestHead head,
         EndpointNotice notice,
         CallProgress progress)
-        implements PeerMessage {}
+        implements PeerMessage {
+    /**
+     * Returns a copy of this message with another body.
+     *
+     * @param newBody the body
+     * @return the copy
+     */
+    public DispatchMessage withBody(CallBody newBody) {
+        return new DispatchMessage(
+                context, operation, idempotent, newBody, fingerprint, remainingMicros, retries, head, notice, progress);
+    }
+}
--- a/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
+++ b/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
@@ -221,6 +221,8 @@
             refuse(execution, RefusalReason.NO_ENDPOINT, 0);
         } else if (state.isQuarantined(message.fingerprint())) {
             refuse(execution, RefusalReason.QUARANTINED, 0);
+        } else if (revocationOf(execution) != null) {
+            refuse(execution, revocationOf(execution), 0);
         } else if (!rejections.admit(message, execution.tree)) {
             refuse(execution, RefusalReason.PARTIAL_REJECTION, 0);
         } else {
@@ -267,6 +269,31 @@
         }
     }
 
+    /**
+     * Refuses the queued root requests whose API keys no longer belong to their teams.
+     *
+     * @return number of refused requests
+     */
+    public int refuseRevoked() {
+        int refused = 0;
+        for (Execution execution : List.copyOf(executions.values())) {
+            RefusalReason reason = revocationOf(execution);
+            if (reason != null
+                    && !state.gatekeeper()
+                            .cancel(execution.number, loop.nowMicros())
+                            .isEmpty()) {
+                refuse(execution, reason, 0);
+                refused++;
+            }
+        }
+        return refused;
+    }
+
+    private RefusalReason revocationOf(Execution execution) {
+        CallContext context = execution.message.context();
+        return state.routes().revocationOf(context.keyId(), context.team());
+    }
+
     /**
      * Lets the gatekeeper update its shed level and refuse or start queued work. Repeated while work is queued or the
      * shed level is above 0.
@@ -417,7 +444,10 @@
     /** Answers rejected calls that were held, for which there is now a retry or whose time is over. */
     private void releaseHeld() {
         for (RetryGrants.Release release : rejections.release()) {
-            answerHeld(executions.get(release.execution()), release.granted());
+            Execution held = executions.get(release.execution());
+            if (held != null) {
+                answerHeld(held, release.granted());
+            }
         }
     }
 
--- a/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
+++ b/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
@@ -1,6 +1,7 @@
 package org.anvillatch.node.peer;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -64,6 +65,7 @@
                 pack(packer, message.head().headers());
             }
             pack(packer, message.notice());
+            packer.packString(context.team()).packString(context.keyId());
             packer.packInt(message.progress().start().ordinal())
                     .packInt(message.progress().completedCalls())
                     .packBoolean(message.progress().chosen());
@@ -76,16 +78,12 @@
             String root = unpacker.unpackString();
             int attempt = unpacker.unpackInt();
             String path = unpacker.unpackString();
-            CallContext context = new CallContext(
-                    root,
-                    attempt,
-                    path.isEmpty() ? root : path,
-                    unpacker.unpackInt(),
-                    unpacker.unpackBoolean(),
-                    unpacker.unpackString());
+            int rank = unpacker.unpackInt();
+            boolean atMostOnce = unpacker.unpackBoolean();
+            String traceparent = unpacker.unpackString();
             OperationName operation = new OperationName(unpacker.unpackString(), unpacker.unpackString());
             boolean idempotent = unpacker.unpackBoolean();
-            CallBody body = unpackBody(unpacker);
+            CallBody body = unpackBody(unpacker, bytes.length);
             String fingerprint = unpacker.unpackString();
             long remainingMicros = unpacker.unpackLong();
             int retries = unpacker.unpackInt();
@@ -93,6 +91,18 @@
             if (!unpacker.tryUnpackNil()) {
                 head = new RequestHead(unpacker.unpackString(), unpacker.unpackString(), unpackHeaders(unpacker));
             }
+            EndpointNotice notice = unpackNotice(unpacker);
+            // Earlier versions of a node send neither the team nor the id of the key.
+            boolean namesTeam = unpacker.hasNext();
+            CallContext context = new CallContext(
+                    root,
+                    attempt,
+                    path.isEmpty() ? root : path,
+                    rank,
+                    atMostOnce,
+                    traceparent,
+                    namesTeam ? unpacker.unpackString() : "",
+                    namesTeam ? unpacker.unpackString() : "");
             return new DispatchMessage(
                     context,
                     operation,
@@ -102,7 +112,7 @@
                     remainingMicros,
                     retries,
                     head,
-                    unpackNotice(unpacker),
+                    notice,
                     unpackProgress(unpacker));
         }
     }
@@ -137,7 +147,7 @@
             Outcome outcome = unpackEnum(unpacker, Outcome.values());
             RefusalReason reason = unpackEnum(unpacker, RefusalReason.values());
             int status = unpacker.unpackInt();
-            CallBody body = unpackBody(unpacker);
+            CallBody body = unpackBody(unpacker, bytes.length);
             int unspentRetries = unpacker.unpackInt();
             int level = unpacker.unpackInt();
             int inFlight = unpacker.unpackInt();
@@ -173,15 +183,18 @@
     }
 
     private static void pack(MessageBufferPacker packer, CallBody body) throws IOException {
-        packer.packString(body.contentType()).packBinaryHeader(body.content().length);
-        packer.writePayload(body.content());
+        packer.packString(body.contentType()).packBinaryHeader(body.length());
+        for (ByteBuffer segment : body.segments()) {
+            packer.writePayload(segment.array(), segment.arrayOffset() + segment.position(), segment.remaining());
+        }
     }
 
-    private static CallBody unpackBody(MessageUnpacker unpacker) throws IOException {
+    private static CallBody unpackBody(MessageUnpacker unpacker, int messageLength) throws IOException {
         String contentType = unpacker.unpackString();
         int length = unpacker.unpackBinaryHeader();
-        if (length > FrameCodec.MAX_FRAME_BYTES) {
-            throw new IOException("body of " + length + " bytes exceeds the maximum frame size");
+        // Checked before the body is allocated: the length may be any number.
+        if (length > messageLength) {
+            throw new IOException("body of " + length + " bytes in a message of " + messageLength + " bytes");
         }
         return new CallBody(contentType, unpacker.readPayload(length));
     }
@@ -196,7 +209,7 @@
         }
     }
 
-    /** Unpacks a component that earlier versions of a node do not send. */
+    /** Unpacks a component of a message that earlier versions of a node do not send. */
     private static EndpointNotice unpackNotice(MessageUnpacker unpacker) throws IOException {
         if (!unpacker.hasNext() || unpacker.tryUnpackNil()) {
             return null;
--- a/node/src/main/java/org/anvillatch/node/peer/FrameCodec.java
+++ b/node/src/main/java/org/anvillatch/node/peer/FrameCodec.java
@@ -9,9 +9,12 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.annotation.JsonDeserialize;
 import org.anvillatch.decision.configuration.ConfigurationChange;
 import org.anvillatch.node.call.CallAnswer;
+import org.anvillatch.node.call.CallContext;
 import org.anvillatch.node.call.DispatchMessage;
+import org.anvillatch.node.decisionlog.Decision;
 import org.msgpack.jackson.dataformat.JsonArrayFormat;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
@@ -22,8 +25,8 @@
  * sequence of values. Numbers are big-endian. New components may only be appended to a message. Thread safe.
  */
 public final class FrameCodec {
-    /** Maximum frame size in bytes, without the length field. */
-    public static final int MAX_FRAME_BYTES = 17 * 1024 * 1024;
+    /** Maximum frame size in bytes, without the length field; larger bodies are sent in parts. */
+    public static final int MAX_FRAME_BYTES = 8 * 1024 * 1024;
 
     private static final short MAGIC = (short) 0xA417;
     private static final int LENGTH_BYTES = 4;
@@ -41,6 +44,11 @@
     })
     private interface ConfigurationChangeMixIn {}
 
+    private interface NamesTeamMixIn {
+        @JsonDeserialize(using = TeamNameDeserializer.class)
+        String team();
+    }
+
     private FrameCodec() {}
 
     /** Writes records as arrays in component order, which keeps the field names out of the frames. */
@@ -57,6 +65,8 @@
      */
     public static ObjectMapper configure(ObjectMapper mapper) {
         return mapper.addMixIn(ConfigurationChange.class, ConfigurationChangeMixIn.class)
+                .addMixIn(CallContext.class, NamesTeamMixIn.class)
+                .addMixIn(Decision.class, NamesTeamMixIn.class)
                 .setSerializationInclusion(JsonInclude.Include.NON_NULL)
                 .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
     }
@@ -75,16 +85,26 @@
             throw new FrameException("frame of " + length + " bytes exceeds " + MAX_FRAME_BYTES, null);
         }
         ByteBuffer buffer = ByteBuffer.allocate(LENGTH_BYTES + length);
-        buffer.putInt(length);
-        buffer.putShort(MAGIC);
-        buffer.put((byte) MessageKind.of(frame.message()).code());
+        putHeader(buffer, MessageKind.of(frame.message()), body.length);
         buffer.put(frame.answer() ? ANSWER_FLAG : 0);
         buffer.putLong(frame.correlation());
         buffer.put(body);
         return buffer.flip();
     }
 
-    private static byte[] encodeBody(PeerMessage message) throws FrameException {
+    /** Encodes all of a frame of {@link TransferMessages.Data} but its bytes, so that these are not copied. */
+    static ByteBuffer encodeDataHeader(long correlation, boolean answer, int length) {
+        return putHeader(ByteBuffer.allocate(LENGTH_BYTES + HEADER_BYTES), MessageKind.TRANSFER_DATA, length)
+                .put(answer ? ANSWER_FLAG : 0)
+                .putLong(correlation)
+                .flip();
+    }
+
+    private static ByteBuffer putHeader(ByteBuffer buffer, MessageKind kind, int bodyLength) {
+        return buffer.putInt(HEADER_BYTES + bodyLength).putShort(MAGIC).put((byte) kind.code());
+    }
+
+    static byte[] encodeBody(PeerMessage message) throws FrameException {
         try {
             if (message instanceof DispatchMessage dispatch) {
                 return CallCodec.encode(dispatch);
@@ -92,6 +112,9 @@
             if (message instanceof CallAnswer answer) {
                 return CallCodec.encode(answer);
             }
+            if (message instanceof TransferMessages.Data data) {
+                return data.bytes();
+            }
             return MAPPER.writeValueAsBytes(message);
         } catch (IOException cause) {
             throw new FrameException("cannot encode " + message.getClass().getSimpleName(), cause);
@@ -138,7 +161,7 @@
         return new Frame(correlation, answer, decodeBody(kind, body));
     }
 
-    private static PeerMessage decodeBody(MessageKind kind, byte[] body) throws FrameException {
+    static PeerMessage decodeBody(MessageKind kind, byte[] body) throws FrameException {
         try {
             if (kind == MessageKind.DISPATCH) {
                 return CallCodec.decodeDispatch(body);
@@ -146,6 +169,9 @@
             if (kind == MessageKind.CALL_ANSWER) {
                 return CallCodec.decodeAnswer(body);
             }
+            if (kind == MessageKind.TRANSFER_DATA) {
+                return new TransferMessages.Data(body);
+            }
             PeerMessage message = MAPPER.readValue(body, kind.type());
             if (message == null) {
                 throw new FrameException("message of kind " + kind + " is empty", null);
