--- a/node/src/main/java/org/anvillatch/node/peer/MessageKind.java
+++ b/node/src/main/java/org/anvillatch/node/peer/MessageKind.java
@@ -61,9 +61,24 @@
     /** Carries bytes of a large body. */
     TRANSFER_DATA(24, TransferMessages.Data.class),
     /** Ends a transfer before its last byte. */
-    TRANSFER_END(25, TransferMessages.End.class);
+    TRANSFER_END(25, TransferMessages.End.class),
+    /** Asks the owner of slots of allowances for tokens. */
+    TOKENS_REQUEST(26, AllowanceMessages.TokensRequest.class),
+    /** Answers a request for tokens. */
+    TOKENS_ANSWER(27, AllowanceMessages.TokensAnswer.class),
+    /** Claims slots of allowances. */
+    CLAIM_REQUEST(28, AllowanceMessages.ClaimRequest.class),
+    /** Answers a claim of slots. */
+    CLAIM_ANSWER(29, AllowanceMessages.ClaimAnswer.class),
+    /** Tells a witness which processes of an endpoint are leaving. */
+    LEAVING_NOTICE(30, ControlMessages.LeavingNotice.class),
+    /** Asks a witness which processes of an endpoint are leaving. */
+    LEAVING_QUERY(31, ControlMessages.LeavingQuery.class),
+    /** Answers which processes of an endpoint are leaving. */
+    LEAVING_ANSWER(32, ControlMessages.LeavingAnswer.class);
 
-    private static final MessageKind[] BY_CODE = new MessageKind[values().length + 1];
+    private static final int MAX_CODE = 127;
+    private static final MessageKind[] BY_CODE = new MessageKind[MAX_CODE + 1];
     private static final Map<Class<?>, MessageKind> BY_TYPE = new HashMap<>();
 
     static {
--- a/node/src/test/java/org/anvillatch/node/call/GatekeeperServiceTest.java
+++ b/node/src/test/java/org/anvillatch/node/call/GatekeeperServiceTest.java
@@ -205,7 +205,7 @@
     private void applyTeams(long version, Team... teams) {
         state.routes()
                 .updateIfNewer(
-                        new RouteTable(version, List.of(), Map.of(), new RequestLimits(1, 1, 1), List.of(teams)));
+                        new RouteTable(version, List.of(), Map.of(), new RequestLimits(1, 1, 1, 1), List.of(teams)));
         service.refuseRevoked();
     }
 
