Let the limit on call trees recover when nested calls no longer wait

Cause: after calls had waited for 2 s and callers repeated refused requests at once, the average wait ratio still lowered the limit, which then grew by two for each duration of a call tree; the queue of root requests kept the shed level up.

Change: a decrease needs a request that itself waited; while calls hardly wait, the limit grows by one with each request.

--- a/decision/src/main/java/org/anvillatch/decision/admission/CallTreeLimit.java
+++ b/decision/src/main/java/org/anvillatch/decision/admission/CallTreeLimit.java
@@ -6,7 +6,7 @@
  * waste less work on those that cannot finish in time.
  *
  * <p>The limit follows additive increase, multiplicative decrease, driven by the ratio of queue time to work time in
- * the call trees. A decrease starts from the number of running requests if that is lower than the limit, so the limit
+ * the call trees, and increases faster while the calls hardly wait. A decrease starts from the number of running requests if that is lower than the limit, so the limit
  * may stay high, without effect, until nested calls wait. On a cold endpoint the limit starts low, like the limit on
  * all executions, and grows by one with each request until the first decrease.
  *
@@ -39,6 +39,13 @@
     /** Wait ratio of a request with a refused nested call, and the maximum wait ratio of any request. */
     private static final double REFUSED_WAIT_RATIO = 2;
 
+    /**
+     * Wait ratio, as a fraction of the tolerated one, below which the limit grows by one with each request, as on a cold
+     * endpoint: with the additive increase alone, requests are refused for several durations of a call tree after the
+     * calls have ceased to wait.
+     */
+    private static final double IDLE_WAIT_RATIO = 0.25;
+
     /** Minimum fraction of the limit that must be in use for it to grow again after a decrease. */
     private static final double MIN_USED_RATIO = 0.75;
 
@@ -73,11 +80,15 @@
         meanDurationMicros += (durationMicros - meanDurationMicros) * (meanDurationMicros == 0 ? 1 : EWMA_WEIGHT);
         double toleratedWaitRatio = MIN_WAIT_RATIO + (MAX_WAIT_RATIO - MIN_WAIT_RATIO) * relativeImportance;
         if (meanWaitRatio > toleratedWaitRatio) {
-            decrease(running, nowMicros);
+            // The average outlasts its cause; a request that did not wait shows that the calls no longer wait.
+            if (waitRatio > toleratedWaitRatio * IDLE_WAIT_RATIO) {
+                decrease(running, nowMicros);
+            }
         } else if (cold) {
             limit = Math.min(slots, limit + 1);
         } else if (running >= limit * MIN_USED_RATIO) {
-            limit = Math.min(slots, limit + INCREASE / limit);
+            boolean idle = meanWaitRatio < toleratedWaitRatio * IDLE_WAIT_RATIO;
+            limit = Math.min(slots, limit + (idle ? 1 : INCREASE / limit));
         }
     }
 
--- a/decision/src/test/java/org/anvillatch/decision/admission/PersistingRefusalTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/admission/PersistingRefusalTest.java
@@ -68,8 +68,7 @@
         }
         long number = nextNumber++;
         requests.put(number, request);
-        apply(gatekeeper.offer(
-                new Work(number, request.operation(), request.rank(), request.deadlineMicros()), now));
+        apply(gatekeeper.offer(new Work(number, request.operation(), request.rank(), request.deadlineMicros()), now));
     }
 
     private void apply(List<AdmissionAction> actions) {
@@ -94,9 +93,7 @@
     }
 
     private void reportLevel(Request request) {
-        levels.put(
-                request.operation(),
-                new DecayingLevel(gatekeeper.shedLevelFor(request.operation(), now), now));
+        levels.put(request.operation(), new DecayingLevel(gatekeeper.shedLevelFor(request.operation(), now), now));
     }
 
     private void start(long number) {
