--- a/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
+++ b/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
@@ -224,7 +224,8 @@
         } else if (revocationOf(execution) != null) {
             refuse(execution, revocationOf(execution), 0);
         } else if (!rejections.admit(message, execution.tree)) {
-            refuse(execution, RefusalReason.PARTIAL_REJECTION, 0);
+            int level = state.gatekeeper().shedLevelFor(message.operation(), now);
+            refuse(execution, RefusalReason.PARTIAL_REJECTION, level);
         } else {
             Work work = new Work(
                     number,
