--- a/node/src/main/java/org/anvillatch/node/call/CallAnswer.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallAnswer.java
@@ -97,6 +97,16 @@
             this(level, inFlight, durationMicros, queuedMicros, endpointFault, notice, List.of(), false, null);
         }
 
+        /**
+         * Returns whether a service rejects so many requests that its gatekeepers grant the retries.
+         *
+         * @param service name of the service
+         * @return true if the report names it
+         */
+        public boolean namesRejecting(String service) {
+            return rejections.stream().anyMatch(rejection -> rejection.service().equals(service));
+        }
+
         /**
          * Returns a copy of this report with the rejecting services.
          *
--- a/node/src/main/java/org/anvillatch/node/call/CallRouter.java
+++ b/node/src/main/java/org/anvillatch/node/call/CallRouter.java
@@ -412,9 +412,7 @@
         private boolean tryUseRetry(CallAnswer answer) {
             boolean granted = answer.report().retryGranted();
             boolean grantsOnly = answer.reason() == RefusalReason.ENDPOINT_REJECTED
-                    && answer.report().rejections().stream()
-                            .anyMatch(rejection ->
-                                    rejection.service().equals(call.operation().service()));
+                    && answer.report().namesRejecting(call.operation().service());
             if (budget.remaining() == 0
                     || !granted && (grantsOnly || !retryBucket(call).trySpend())) {
                 return false;
--- a/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
+++ b/node/src/main/java/org/anvillatch/node/call/GatekeeperService.java
@@ -224,7 +224,8 @@
         } else if (revocation != null) {
             refuse(execution, revocation, 0);
         } else if (!rejections.admit(message, execution.tree)) {
-            refuse(execution, RefusalReason.PARTIAL_REJECTION, 0);
+            int level = state.gatekeeper().shedLevelFor(message.operation(), now);
+            refuse(execution, RefusalReason.PARTIAL_REJECTION, level);
         } else {
             Work work = new Work(
                     number,
@@ -441,7 +442,10 @@
     /** Answers rejected calls that were held, for which there is now a retry or whose time is over. */
     private void releaseHeld() {
         for (RetryGrants.Release release : rejections.release()) {
-            answerHeld(executions.get(release.execution()), release.granted());
+            Execution held = executions.get(release.execution());
+            if (held != null) {
+                answerHeld(held, release.granted());
+            }
         }
     }
 
--- a/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
+++ b/node/src/main/java/org/anvillatch/node/peer/CallCodec.java
@@ -217,7 +217,7 @@
         }
     }
 
-    /** Unpacks a component that earlier versions of a node do not send. */
+    /** Unpacks a component of a message that earlier versions of a node do not send. */
     private static EndpointNotice unpackNotice(MessageUnpacker unpacker) throws IOException {
         if (!unpacker.hasNext() || unpacker.tryUnpackNil()) {
             return null;
