--- a/decision/src/main/java/org/anvillatch/decision/membership/Membership.java
+++ b/decision/src/main/java/org/anvillatch/decision/membership/Membership.java
@@ -182,6 +182,15 @@
         }
     }
 
+    /**
+     * Returns whether this host knows an address at which another host may be found.
+     *
+     * @return false if no seed was given or found yet
+     */
+    public boolean hasSeeds() {
+        return !seeds.isEmpty();
+    }
+
     /** Pings one dead host: after a partition, two hosts that consider each other dead would not make contact again. */
     private void pingDeadHost(long nowMicros, RandomGenerator random, List<MembershipAction> actions) {
         List<Member> dead = new ArrayList<>();
@@ -355,6 +364,20 @@
                         member.status().isPresent() && member.host().name().compareTo(self) < 0);
     }
 
+    /**
+     * Returns whether this host has the smallest name of all present hosts of its failure domain; tasks that one host of
+     * each domain suffices for are done by it.
+     *
+     * @return true if no other present host of the domain has a smaller name
+     */
+    public boolean isFirstPresentInDomain() {
+        String domain = members.get(self).domain();
+        return members.values().stream()
+                .noneMatch(member -> member.status().isPresent()
+                        && member.domain().equals(domain)
+                        && member.host().name().compareTo(self) < 0);
+    }
+
     /**
      * Returns the number of hosts in the view.
      *
--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -33,8 +33,10 @@
 import org.anvillatch.node.decisionlog.DecisionLog;
 import org.anvillatch.node.endpoint.EndpointClient;
 import org.anvillatch.node.endpoint.EndpointHandler;
+import org.anvillatch.node.listener.ConnectionGuard;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
+import org.anvillatch.node.membership.LeavingWitnesses;
 import org.anvillatch.node.membership.MembershipService;
 import org.anvillatch.node.memory.MemoryBudget;
 import org.anvillatch.node.operator.ChangeCommand;
@@ -47,6 +49,7 @@
 import org.anvillatch.node.platform.HttpPlatformLog;
 import org.anvillatch.node.routes.RouteTableService;
 import org.anvillatch.node.settings.NodeSettings;
+import org.anvillatch.node.team.TeamAllowanceService;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.slf4j.Logger;
@@ -82,6 +85,7 @@
     private final EndpointHandler endpointHandler;
     private final MembershipService membershipService;
     private final ConfigurationService configurationService;
+    private final TeamAllowanceService allowances;
     private volatile String processState = "starting";
     private long lastTickMicros;
 
@@ -126,19 +130,28 @@
         Readiness readiness =
                 new Readiness(loop, scheduler, () -> "serving".equals(processState) && budget.hasRoomForRequests());
         CommandHandler commands = new CommandHandler(loop, state, changes, questions, keys, metrics, readiness);
+        allowances = new TeamAllowanceService(loop, state, peers::send, metrics);
         PeerRequestHandler commonHandler = new PeerRequestHandler(
-                loop, state, gatekeeperService, membershipService, new RouteTableService(loop, state, peers));
+                loop,
+                state,
+                gatekeeperService,
+                membershipService,
+                new RouteTableService(loop, state, peers),
+                new LeavingWitnesses(loop, state, peers, membershipService, metrics),
+                allowances);
         NodePeerHandler peerHandler = new NodePeerHandler(
                 loop,
                 new NodePeerHandler.Services(
                         commonHandler, idempotencyService, configurationService, questions, this::status));
+        ConnectionGuard guard = new ConnectionGuard(scheduler, budget, metrics);
         NodeServer server = new NodeServer(
                 settings,
                 threads,
                 scheduler,
+                guard,
                 new NodeServer.Handlers(callHandler, new KeyHandler(loop, state), endpointHandler, commands),
                 new PeerServer(threads, peerHandler, budget, metrics));
-        services = List.of(loop, log, nodeThreads, peers, endpointClient, platform, server);
+        services = List.of(loop, log, nodeThreads, guard, peers, endpointClient, platform, server);
         registerMetrics();
     }
 
@@ -209,6 +222,7 @@
         loop.scheduleRepeatedly(TICK_PERIOD_MICROS, this::tick);
         loop.scheduleRepeatedly(MembershipService.TICK_PERIOD_MICROS, membershipService::tick);
         loop.scheduleRepeatedly(MembershipService.TICK_PERIOD_MICROS, configurationService::tick);
+        loop.scheduleRepeatedly(TeamAllowanceService.TICK_PERIOD_MICROS, allowances::tick);
         loop.scheduleRepeatedly(MembershipService.TICK_PERIOD_MICROS, endpointHandler::checkHeartbeat);
         processState = "serving";
         LOG.info(
