--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -4,10 +4,12 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.stream.Collectors;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import org.anvillatch.decision.admission.Gatekeeper;
+import org.anvillatch.decision.configuration.Configuration;
 import org.anvillatch.decision.configuration.ConfigurationReducer;
 import org.anvillatch.decision.drain.EndpointPhase;
 import org.anvillatch.decision.idempotency.IdempotencyLedger;
@@ -34,6 +36,7 @@
 import org.anvillatch.node.listener.ConnectionGuard;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
+import org.anvillatch.node.membership.LeavingWitnesses;
 import org.anvillatch.node.membership.MembershipService;
 import org.anvillatch.node.memory.IncompleteBodies;
 import org.anvillatch.node.memory.MemoryBudget;
@@ -47,6 +50,7 @@
 import org.anvillatch.node.platform.HttpPlatformLog;
 import org.anvillatch.node.routes.RouteTableService;
 import org.anvillatch.node.settings.NodeSettings;
+import org.anvillatch.node.team.TeamAllowanceService;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.slf4j.Logger;
@@ -82,6 +86,7 @@
     private final EndpointHandler endpointHandler;
     private final MembershipService membershipService;
     private final ConfigurationService configurationService;
+    private final TeamAllowanceService allowances;
     private volatile String processState = "starting";
     private long lastTickMicros;
 
@@ -126,8 +131,15 @@
         Readiness readiness =
                 new Readiness(loop, scheduler, () -> "serving".equals(processState) && budget.hasRoomForRequests());
         CommandHandler commands = new CommandHandler(loop, state, changes, questions, keys, metrics, readiness);
+        allowances = new TeamAllowanceService(loop, state, peers::send, metrics);
         PeerRequestHandler commonHandler = new PeerRequestHandler(
-                loop, state, gatekeeperService, membershipService, new RouteTableService(loop, state, peers));
+                loop,
+                state,
+                gatekeeperService,
+                membershipService,
+                new RouteTableService(loop, state, peers),
+                new LeavingWitnesses(loop, state, peers, membershipService, metrics),
+                allowances);
         NodePeerHandler peerHandler = new NodePeerHandler(
                 loop,
                 new NodePeerHandler.Services(
@@ -211,6 +223,7 @@
         loop.scheduleRepeatedly(TICK_PERIOD_MICROS, this::tick);
         loop.scheduleRepeatedly(MembershipService.TICK_PERIOD_MICROS, membershipService::tick);
         loop.scheduleRepeatedly(MembershipService.TICK_PERIOD_MICROS, configurationService::tick);
+        loop.scheduleRepeatedly(TeamAllowanceService.TICK_PERIOD_MICROS, allowances::tick);
         loop.scheduleRepeatedly(MembershipService.TICK_PERIOD_MICROS, endpointHandler::checkHeartbeat);
         processState = "serving";
         LOG.info(
@@ -233,10 +246,26 @@
     }
 
     private void configurationChanged() {
+        applyTeams();
         state.suspects().release(state.configuration().current().released());
         gatekeeperService.endpointState().applyDrain();
     }
 
+    private void applyTeams() {
+        Configuration current = state.configuration().current();
+        state.routes()
+                .replaceTeams(
+                        current.teamList(),
+                        current.operations().values().stream()
+                                .map(current::importance)
+                                .collect(Collectors.toSet()));
+        callHandler.teamAdmission().teamsChanged();
+        int refused = gatekeeperService.refuseRevoked();
+        if (refused > 0) {
+            LOG.info("queued requests of revoked keys refused={}", refused);
+        }
+    }
+
     private HostStatus status() {
         Member self = state.membership().self();
         return new HostStatus(
