--- a/node/src/test/java/org/anvillatch/node/caller/CallHandlerTeamTest.java
+++ b/node/src/test/java/org/anvillatch/node/caller/CallHandlerTeamTest.java
@@ -24,10 +24,16 @@
 import org.anvillatch.node.call.CallDecisionRecorder;
 import org.anvillatch.node.call.CallRouter;
 import org.anvillatch.node.decisionlog.DecisionLog;
+import org.anvillatch.node.listener.ConnectionGuard;
+import org.anvillatch.node.listener.GuardedConnector;
+import org.anvillatch.node.listener.GuardedHttpFactory;
 import org.anvillatch.node.loop.DecisionLoop;
 import org.anvillatch.node.loop.HostState;
 import org.anvillatch.node.loop.TestHostStates;
+import org.anvillatch.node.memory.IncompleteBodies;
+import org.anvillatch.node.memory.MemoryBudget;
 import org.anvillatch.node.team.TeamAllowances;
+import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.junit.jupiter.api.AfterEach;
@@ -48,7 +54,10 @@
             new CallRouter(loop, state, null, null, decisions, metrics, RetryTokenBucket::new);
     private final CallHandler handler = new CallHandler(loop, state, router, null, null, decisions, metrics);
     private final Server server = new Server();
-    private final ServerConnector connector = new ServerConnector(server, 1, 1);
+    private final ConnectionGuard guard =
+            new ConnectionGuard(null, new IncompleteBodies(MemoryBudget.ofMaxHeap()), metrics);
+    private final ServerConnector connector = new GuardedConnector(
+            server, null, 1, new GuardedHttpFactory(new HttpConfiguration()), guard.addListener("callers", 10));
     private final HttpClient client = HttpClient.newHttpClient();
 
     @BeforeEach
