Declare teams in the operators' language (needs bin/generate-grammar)

Cause: teams of the product's own interface cannot be declared yet.

Change: the grammar has team, remove team and show teams; the builder turns them into changes and a question.

Not compiled and not run: the generator of the grammar (antlr4 4.13.2, complete) is not in the Maven cache, so the committed parser does not have the new rules. Run bin/generate-grammar, then ScriptParserTest.

--- a/language/src/main/antlr/Operator.g4
+++ b/language/src/main/antlr/Operator.g4
@@ -14,6 +14,8 @@
     | RETRY BOUND number                                             # retryBound
     | DRAIN scope name                                               # drain
     | RETURN scope name                                              # returnToService
+    | TEAM name teamPart*                                            # team
+    | REMOVE TEAM name                                               # removeTeam
     | QUARANTINE name                                                # quarantine
     | RELEASE name                                                   # release
     | SHOW topic                                                     # show
@@ -26,6 +28,7 @@
     : CONFIGURATION                                             # showConfiguration
     | HISTORY                                                   # showHistory
     | HOSTS                                                     # showHosts
+    | TEAMS                                                     # showTeams
     | QUARANTINE                                                # showQuarantine
     | SHED (BY grouping)? (TOP number)? (LAST number SECONDS)?  # showShed
     | CHANGE name                                               # showChange
@@ -37,6 +40,12 @@
     | DEADLINE number MS
     ;
 
+teamPart
+    : IMPORTANCE name
+    | RATE number (BURST number)?
+    | KEYS name (',' name)*
+    ;
+
 scope : HOST | DOMAIN ;
 
 grouping : HOST | OPERATION | IMPORTANCE | REASON ;
@@ -45,7 +54,8 @@
 
 name : WORD | NUMBER | IF | VERSION | IMPORTANCE | ORDER | OPERATION | RETRY | BOUND | DRAIN | RETURN | QUARANTINE
      | RELEASE | SHOW | CONFIGURATION | HISTORY | HOSTS | SHED | BY | TOP | LAST | SECONDS | CHANGE | EXPLAIN
-     | REQUEST | HELP | NOT | IDEMPOTENT | DEADLINE | MS | HOST | DOMAIN | REASON ;
+     | REQUEST | HELP | NOT | IDEMPOTENT | DEADLINE | MS | HOST | DOMAIN | REASON | TEAM | TEAMS | REMOVE | RATE
+     | BURST | KEYS ;
 
 IF : 'if' ;
 VERSION : 'version' ;
@@ -78,6 +88,12 @@
 HOST : 'host' ;
 DOMAIN : 'domain' ;
 REASON : 'reason' ;
+TEAM : 'team' ;
+TEAMS : 'teams' ;
+REMOVE : 'remove' ;
+RATE : 'rate' ;
+BURST : 'burst' ;
+KEYS : 'keys' ;
 
 NUMBER : [0-9]+ ;
 WORD : [a-z0-9_] [a-z0-9_.~#@:-]* ;
--- a/language/src/main/java/org/anvillatch/language/ScriptBuilder.java
+++ b/language/src/main/java/org/anvillatch/language/ScriptBuilder.java
@@ -9,6 +9,7 @@
 import org.anvillatch.decision.configuration.ConfigurationChange.DrainScope;
 import org.anvillatch.decision.configuration.Finding;
 import org.anvillatch.decision.configuration.OperationPolicy;
+import org.anvillatch.decision.configuration.TeamPolicy;
 import org.anvillatch.language.grammar.OperatorBaseVisitor;
 import org.anvillatch.language.grammar.OperatorParser;
 
@@ -126,6 +127,39 @@
         return null;
     }
 
+    @Override
+    public Void visitTeam(OperatorParser.TeamContext context) {
+        String importance = null;
+        int rate = 0;
+        int burst = 0;
+        List<String> hashes = new ArrayList<>();
+        for (OperatorParser.TeamPartContext part : context.teamPart()) {
+            if (part.IMPORTANCE() != null) {
+                importance = part.name(0).getText();
+            } else if (part.RATE() != null) {
+                rate = number(part.number(0));
+                burst = part.BURST() == null ? rate : number(part.number(1));
+            } else {
+                part.name().forEach(name -> hashes.add(name.getText().toLowerCase(Locale.ROOT)));
+            }
+        }
+        changes.add(new ConfigurationChange.Team(
+                context.name().getText(), new TeamPolicy(importance, rate, burst, hashes)));
+        return null;
+    }
+
+    @Override
+    public Void visitRemoveTeam(OperatorParser.RemoveTeamContext context) {
+        changes.add(new ConfigurationChange.TeamRemoval(context.name().getText()));
+        return null;
+    }
+
+    @Override
+    public Void visitShowTeams(OperatorParser.ShowTeamsContext context) {
+        questions.add(new Question.ShowTeams());
+        return null;
+    }
+
     @Override
     public Void visitQuarantine(OperatorParser.QuarantineContext context) {
         changes.add(new ConfigurationChange.Quarantine(context.name().getText(), true));
--- a/language/src/test/java/org/anvillatch/language/ScriptParserTest.java
+++ b/language/src/test/java/org/anvillatch/language/ScriptParserTest.java
@@ -12,6 +12,7 @@
 import org.anvillatch.decision.configuration.ConfigurationChange;
 import org.anvillatch.decision.configuration.Finding;
 import org.anvillatch.decision.configuration.OperationPolicy;
+import org.anvillatch.decision.configuration.TeamPolicy;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -44,6 +45,25 @@
                 .inOrder();
     }
 
+    /** Guards against hashes that are read as numbers, and against declarations that history cannot show. */
+    @Test
+    void readsTeams() {
+        String first = "1".repeat(64);
+        String second = "a".repeat(64);
+        ConfigurationChange team = new ConfigurationChange.Team(
+                "blue", new TeamPolicy("normal", 50, 100, List.of(first, second)));
+        Script script = parse(team.text() + "; team red; team rated rate 3; remove team team");
+        assertThat(findings).isEmpty();
+        assertThat(script.changes())
+                .containsExactly(
+                        team,
+                        new ConfigurationChange.Team("red", new TeamPolicy(null, 0, 0, List.of())),
+                        new ConfigurationChange.Team("rated", new TeamPolicy(null, 3, 3, List.of())),
+                        new ConfigurationChange.TeamRemoval("team"))
+                .inOrder();
+        assertThat(parse("show teams").questions()).containsExactly(new Question.ShowTeams());
+    }
+
     @Test
     void readsQuestions() {
         Script script = parse("show shed by host top 3 last 60 seconds; EXPLAIN REQUEST 2-demo-17");
