Generate the parser of the statements that declare teams

Cause: the generator was not available to the author of the grammar. Change: bin/generate-grammar was run; no other edit.

--- a/language/src/main/java/org/anvillatch/language/grammar/OperatorBaseVisitor.java
+++ b/language/src/main/java/org/anvillatch/language/grammar/OperatorBaseVisitor.java
@@ -61,6 +61,20 @@
 	 * {@link #visitChildren} on {@code ctx}.</p>
 	 */
 	@Override public T visitReturnToService(OperatorParser.ReturnToServiceContext ctx) { return visitChildren(ctx); }
+	/**
+	 * {@inheritDoc}
+	 *
+	 * <p>The default implementation returns the result of calling
+	 * {@link #visitChildren} on {@code ctx}.</p>
+	 */
+	@Override public T visitTeam(OperatorParser.TeamContext ctx) { return visitChildren(ctx); }
+	/**
+	 * {@inheritDoc}
+	 *
+	 * <p>The default implementation returns the result of calling
+	 * {@link #visitChildren} on {@code ctx}.</p>
+	 */
+	@Override public T visitRemoveTeam(OperatorParser.RemoveTeamContext ctx) { return visitChildren(ctx); }
 	/**
 	 * {@inheritDoc}
 	 *
@@ -117,6 +131,13 @@
 	 * {@link #visitChildren} on {@code ctx}.</p>
 	 */
 	@Override public T visitShowHosts(OperatorParser.ShowHostsContext ctx) { return visitChildren(ctx); }
+	/**
+	 * {@inheritDoc}
+	 *
+	 * <p>The default implementation returns the result of calling
+	 * {@link #visitChildren} on {@code ctx}.</p>
+	 */
+	@Override public T visitShowTeams(OperatorParser.ShowTeamsContext ctx) { return visitChildren(ctx); }
 	/**
 	 * {@inheritDoc}
 	 *
@@ -145,6 +166,13 @@
 	 * {@link #visitChildren} on {@code ctx}.</p>
 	 */
 	@Override public T visitOperationPart(OperatorParser.OperationPartContext ctx) { return visitChildren(ctx); }
+	/**
+	 * {@inheritDoc}
+	 *
+	 * <p>The default implementation returns the result of calling
+	 * {@link #visitChildren} on {@code ctx}.</p>
+	 */
+	@Override public T visitTeamPart(OperatorParser.TeamPartContext ctx) { return visitChildren(ctx); }
 	/**
 	 * {@inheritDoc}
 	 *
--- a/language/src/main/java/org/anvillatch/language/grammar/OperatorParser.java
+++ b/language/src/main/java/org/anvillatch/language/grammar/OperatorParser.java
@@ -17,43 +17,45 @@
 	protected static final PredictionContextCache _sharedContextCache =
 		new PredictionContextCache();
 	public static final int
-		T__0=1, T__1=2, T__2=3, IF=4, VERSION=5, IMPORTANCE=6, ORDER=7, OPERATION=8, 
-		RETRY=9, BOUND=10, DRAIN=11, RETURN=12, QUARANTINE=13, RELEASE=14, SHOW=15, 
-		CONFIGURATION=16, HISTORY=17, HOSTS=18, SHED=19, BY=20, TOP=21, LAST=22, 
-		SECONDS=23, CHANGE=24, EXPLAIN=25, REQUEST=26, HELP=27, NOT=28, IDEMPOTENT=29, 
-		DEADLINE=30, MS=31, HOST=32, DOMAIN=33, REASON=34, NUMBER=35, WORD=36, 
-		SPACE=37, COMMENT=38, OTHER=39;
+		T__0=1, T__1=2, T__2=3, T__3=4, IF=5, VERSION=6, IMPORTANCE=7, ORDER=8, 
+		OPERATION=9, RETRY=10, BOUND=11, DRAIN=12, RETURN=13, QUARANTINE=14, RELEASE=15, 
+		SHOW=16, CONFIGURATION=17, HISTORY=18, HOSTS=19, SHED=20, BY=21, TOP=22, 
+		LAST=23, SECONDS=24, CHANGE=25, EXPLAIN=26, REQUEST=27, HELP=28, NOT=29, 
+		IDEMPOTENT=30, DEADLINE=31, MS=32, HOST=33, DOMAIN=34, REASON=35, TEAM=36, 
+		TEAMS=37, REMOVE=38, RATE=39, BURST=40, KEYS=41, NUMBER=42, WORD=43, SPACE=44, 
+		COMMENT=45, OTHER=46;
 	public static final int
 		RULE_script = 0, RULE_condition = 1, RULE_statement = 2, RULE_topic = 3, 
-		RULE_operationPart = 4, RULE_scope = 5, RULE_grouping = 6, RULE_number = 7, 
-		RULE_name = 8;
+		RULE_operationPart = 4, RULE_teamPart = 5, RULE_scope = 6, RULE_grouping = 7, 
+		RULE_number = 8, RULE_name = 9;
 	private static String[] makeRuleNames() {
 		return new String[] {
-			"script", "condition", "statement", "topic", "operationPart", "scope", 
-			"grouping", "number", "name"
+			"script", "condition", "statement", "topic", "operationPart", "teamPart", 
+			"scope", "grouping", "number", "name"
 		};
 	}
 	public static final String[] ruleNames = makeRuleNames();
 
 	private static String[] makeLiteralNames() {
 		return new String[] {
-			null, "';'", "'<'", "'/'", "'if'", "'version'", "'importance'", "'order'", 
-			"'operation'", "'retry'", "'bound'", "'drain'", "'return'", "'quarantine'", 
-			"'release'", "'show'", "'configuration'", "'history'", "'hosts'", "'shed'", 
-			"'by'", "'top'", "'last'", "'seconds'", "'change'", "'explain'", "'request'", 
-			"'help'", "'not'", "'idempotent'", "'deadline'", "'ms'", "'host'", "'domain'", 
-			"'reason'"
+			null, "';'", "'<'", "'/'", "','", "'if'", "'version'", "'importance'", 
+			"'order'", "'operation'", "'retry'", "'bound'", "'drain'", "'return'", 
+			"'quarantine'", "'release'", "'show'", "'configuration'", "'history'", 
+			"'hosts'", "'shed'", "'by'", "'top'", "'last'", "'seconds'", "'change'", 
+			"'explain'", "'request'", "'help'", "'not'", "'idempotent'", "'deadline'", 
+			"'ms'", "'host'", "'domain'", "'reason'", "'team'", "'teams'", "'remove'", 
+			"'rate'", "'burst'", "'keys'"
 		};
 	}
 	private static final String[] _LITERAL_NAMES = makeLiteralNames();
 	private static String[] makeSymbolicNames() {
 		return new String[] {
-			null, null, null, null, "IF", "VERSION", "IMPORTANCE", "ORDER", "OPERATION", 
-			"RETRY", "BOUND", "DRAIN", "RETURN", "QUARANTINE", "RELEASE", "SHOW", 
-			"CONFIGURATION", "HISTORY", "HOSTS", "SHED", "BY", "TOP", "LAST", "SECONDS", 
-			"CHANGE", "EXPLAIN", "REQUEST", "HELP", "NOT", "IDEMPOTENT", "DEADLINE", 
-			"MS", "HOST", "DOMAIN", "REASON", "NUMBER", "WORD", "SPACE", "COMMENT", 
-			"OTHER"
+			null, null, null, null, null, "IF", "VERSION", "IMPORTANCE", "ORDER", 
+			"OPERATION", "RETRY", "BOUND", "DRAIN", "RETURN", "QUARANTINE", "RELEASE", 
+			"SHOW", "CONFIGURATION", "HISTORY", "HOSTS", "SHED", "BY", "TOP", "LAST", 
+			"SECONDS", "CHANGE", "EXPLAIN", "REQUEST", "HELP", "NOT", "IDEMPOTENT", 
+			"DEADLINE", "MS", "HOST", "DOMAIN", "REASON", "TEAM", "TEAMS", "REMOVE", 
+			"RATE", "BURST", "KEYS", "NUMBER", "WORD", "SPACE", "COMMENT", "OTHER"
 		};
 	}
 	private static final String[] _SYMBOLIC_NAMES = makeSymbolicNames();
@@ -138,47 +140,47 @@
 			int _alt;
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(19);
+			setState(21);
 			_errHandler.sync(this);
 			_la = _input.LA(1);
 			if (_la==IF) {
 				{
-				setState(18);
+				setState(20);
 				condition();
 				}
 			}
 
-			setState(21);
+			setState(23);
 			statement();
-			setState(26);
+			setState(28);
 			_errHandler.sync(this);
 			_alt = getInterpreter().adaptivePredict(_input,1,_ctx);
 			while ( _alt!=2 && _alt!=org.antlr.v4.runtime.atn.ATN.INVALID_ALT_NUMBER ) {
 				if ( _alt==1 ) {
 					{
 					{
-					setState(22);
+					setState(24);
 					match(T__0);
-					setState(23);
+					setState(25);
 					statement();
 					}
 					} 
 				}
-				setState(28);
+				setState(30);
 				_errHandler.sync(this);
 				_alt = getInterpreter().adaptivePredict(_input,1,_ctx);
 			}
-			setState(30);
+			setState(32);
 			_errHandler.sync(this);
 			_la = _input.LA(1);
 			if (_la==T__0) {
 				{
-				setState(29);
+				setState(31);
 				match(T__0);
 				}
 			}
 
-			setState(32);
+			setState(34);
 			match(EOF);
 			}
 		}
@@ -217,11 +219,11 @@
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(34);
+			setState(36);
 			match(IF);
-			setState(35);
+			setState(37);
 			match(VERSION);
-			setState(36);
+			setState(38);
 			number();
 			}
 		}
@@ -342,6 +344,39 @@
 		}
 	}
 	@SuppressWarnings("CheckReturnValue")
+	public static class TeamContext extends StatementContext {
+		public TerminalNode TEAM() { return getToken(OperatorParser.TEAM, 0); }
+		public NameContext name() {
+			return getRuleContext(NameContext.class,0);
+		}
+		public List<TeamPartContext> teamPart() {
+			return getRuleContexts(TeamPartContext.class);
+		}
+		public TeamPartContext teamPart(int i) {
+			return getRuleContext(TeamPartContext.class,i);
+		}
+		public TeamContext(StatementContext ctx) { copyFrom(ctx); }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitTeam(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+	@SuppressWarnings("CheckReturnValue")
+	public static class RemoveTeamContext extends StatementContext {
+		public TerminalNode REMOVE() { return getToken(OperatorParser.REMOVE, 0); }
+		public TerminalNode TEAM() { return getToken(OperatorParser.TEAM, 0); }
+		public NameContext name() {
+			return getRuleContext(NameContext.class,0);
+		}
+		public RemoveTeamContext(StatementContext ctx) { copyFrom(ctx); }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitRemoveTeam(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+	@SuppressWarnings("CheckReturnValue")
 	public static class ImportanceOrderContext extends StatementContext {
 		public TerminalNode IMPORTANCE() { return getToken(OperatorParser.IMPORTANCE, 0); }
 		public TerminalNode ORDER() { return getToken(OperatorParser.ORDER, 0); }
@@ -402,32 +437,32 @@
 		enterRule(_localctx, 4, RULE_statement);
 		int _la;
 		try {
-			setState(79);
+			setState(92);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case IMPORTANCE:
 				_localctx = new ImportanceOrderContext(_localctx);
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(38);
+				setState(40);
 				match(IMPORTANCE);
-				setState(39);
+				setState(41);
 				match(ORDER);
-				setState(40);
+				setState(42);
 				name();
-				setState(45);
+				setState(47);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 				while (_la==T__1) {
 					{
 					{
-					setState(41);
+					setState(43);
 					match(T__1);
-					setState(42);
+					setState(44);
 					name();
 					}
 					}
-					setState(47);
+					setState(49);
 					_errHandler.sync(this);
 					_la = _input.LA(1);
 				}
@@ -437,25 +472,25 @@
 				_localctx = new OperationContext(_localctx);
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(48);
+				setState(50);
 				match(OPERATION);
-				setState(49);
+				setState(51);
 				name();
-				setState(50);
+				setState(52);
 				match(T__2);
-				setState(51);
+				setState(53);
 				name();
-				setState(55);
+				setState(57);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
-				while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 1879048256L) != 0)) {
+				while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 3758096512L) != 0)) {
 					{
 					{
-					setState(52);
+					setState(54);
 					operationPart();
 					}
 					}
-					setState(57);
+					setState(59);
 					_errHandler.sync(this);
 					_la = _input.LA(1);
 				}
@@ -465,11 +500,11 @@
 				_localctx = new RetryBoundContext(_localctx);
 				enterOuterAlt(_localctx, 3);
 				{
-				setState(58);
+				setState(60);
 				match(RETRY);
-				setState(59);
+				setState(61);
 				match(BOUND);
-				setState(60);
+				setState(62);
 				number();
 				}
 				break;
@@ -477,11 +512,11 @@
 				_localctx = new DrainContext(_localctx);
 				enterOuterAlt(_localctx, 4);
 				{
-				setState(61);
+				setState(63);
 				match(DRAIN);
-				setState(62);
+				setState(64);
 				scope();
-				setState(63);
+				setState(65);
 				name();
 				}
 				break;
@@ -489,61 +524,97 @@
 				_localctx = new ReturnToServiceContext(_localctx);
 				enterOuterAlt(_localctx, 5);
 				{
-				setState(65);
+				setState(67);
 				match(RETURN);
-				setState(66);
+				setState(68);
 				scope();
-				setState(67);
+				setState(69);
+				name();
+				}
+				break;
+			case TEAM:
+				_localctx = new TeamContext(_localctx);
+				enterOuterAlt(_localctx, 6);
+				{
+				setState(71);
+				match(TEAM);
+				setState(72);
+				name();
+				setState(76);
+				_errHandler.sync(this);
+				_la = _input.LA(1);
+				while ((((_la) & ~0x3f) == 0 && ((1L << _la) & 2748779069568L) != 0)) {
+					{
+					{
+					setState(73);
+					teamPart();
+					}
+					}
+					setState(78);
+					_errHandler.sync(this);
+					_la = _input.LA(1);
+				}
+				}
+				break;
+			case REMOVE:
+				_localctx = new RemoveTeamContext(_localctx);
+				enterOuterAlt(_localctx, 7);
+				{
+				setState(79);
+				match(REMOVE);
+				setState(80);
+				match(TEAM);
+				setState(81);
 				name();
 				}
 				break;
 			case QUARANTINE:
 				_localctx = new QuarantineContext(_localctx);
-				enterOuterAlt(_localctx, 6);
+				enterOuterAlt(_localctx, 8);
 				{
-				setState(69);
+				setState(82);
 				match(QUARANTINE);
-				setState(70);
+				setState(83);
 				name();
 				}
 				break;
 			case RELEASE:
 				_localctx = new ReleaseContext(_localctx);
-				enterOuterAlt(_localctx, 7);
+				enterOuterAlt(_localctx, 9);
 				{
-				setState(71);
+				setState(84);
 				match(RELEASE);
-				setState(72);
+				setState(85);
 				name();
 				}
 				break;
 			case SHOW:
 				_localctx = new ShowContext(_localctx);
-				enterOuterAlt(_localctx, 8);
+				enterOuterAlt(_localctx, 10);
 				{
-				setState(73);
+				setState(86);
 				match(SHOW);
-				setState(74);
+				setState(87);
 				topic();
 				}
 				break;
 			case EXPLAIN:
 				_localctx = new ExplainContext(_localctx);
-				enterOuterAlt(_localctx, 9);
+				enterOuterAlt(_localctx, 11);
 				{
-				setState(75);
+				setState(88);
 				match(EXPLAIN);
-				setState(76);
+				setState(89);
 				match(REQUEST);
-				setState(77);
+				setState(90);
 				name();
 				}
 				break;
 			case HELP:
 				_localctx = new HelpContext(_localctx);
-				enterOuterAlt(_localctx, 10);
+				enterOuterAlt(_localctx, 12);
 				{
-				setState(78);
+				setState(91);
 				match(HELP);
 				}
 				break;
@@ -575,6 +646,16 @@
 		}
 	}
 	@SuppressWarnings("CheckReturnValue")
+	public static class ShowTeamsContext extends TopicContext {
+		public TerminalNode TEAMS() { return getToken(OperatorParser.TEAMS, 0); }
+		public ShowTeamsContext(TopicContext ctx) { copyFrom(ctx); }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitShowTeams(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+	@SuppressWarnings("CheckReturnValue")
 	public static class ShowQuarantineContext extends TopicContext {
 		public TerminalNode QUARANTINE() { return getToken(OperatorParser.QUARANTINE, 0); }
 		public ShowQuarantineContext(TopicContext ctx) { copyFrom(ctx); }
@@ -656,14 +737,14 @@
 		enterRule(_localctx, 6, RULE_topic);
 		int _la;
 		try {
-			setState(102);
+			setState(116);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case CONFIGURATION:
 				_localctx = new ShowConfigurationContext(_localctx);
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(81);
+				setState(94);
 				match(CONFIGURATION);
 				}
 				break;
@@ -671,7 +752,7 @@
 				_localctx = new ShowHistoryContext(_localctx);
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(82);
+				setState(95);
 				match(HISTORY);
 				}
 				break;
@@ -679,58 +760,66 @@
 				_localctx = new ShowHostsContext(_localctx);
 				enterOuterAlt(_localctx, 3);
 				{
-				setState(83);
+				setState(96);
 				match(HOSTS);
 				}
 				break;
+			case TEAMS:
+				_localctx = new ShowTeamsContext(_localctx);
+				enterOuterAlt(_localctx, 4);
+				{
+				setState(97);
+				match(TEAMS);
+				}
+				break;
 			case QUARANTINE:
 				_localctx = new ShowQuarantineContext(_localctx);
-				enterOuterAlt(_localctx, 4);
+				enterOuterAlt(_localctx, 5);
 				{
-				setState(84);
+				setState(98);
 				match(QUARANTINE);
 				}
 				break;
 			case SHED:
 				_localctx = new ShowShedContext(_localctx);
-				enterOuterAlt(_localctx, 5);
+				enterOuterAlt(_localctx, 6);
 				{
-				setState(85);
+				setState(99);
 				match(SHED);
-				setState(88);
+				setState(102);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 				if (_la==BY) {
 					{
-					setState(86);
+					setState(100);
 					match(BY);
-					setState(87);
+					setState(101);
 					grouping();
 					}
 				}
 
-				setState(92);
+				setState(106);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 				if (_la==TOP) {
 					{
-					setState(90);
+					setState(104);
 					match(TOP);
-					setState(91);
+					setState(105);
 					number();
 					}
 				}
 
-				setState(98);
+				setState(112);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 				if (_la==LAST) {
 					{
-					setState(94);
+					setState(108);
 					match(LAST);
-					setState(95);
+					setState(109);
 					number();
-					setState(96);
+					setState(110);
 					match(SECONDS);
 					}
 				}
@@ -739,11 +828,11 @@
 				break;
 			case CHANGE:
 				_localctx = new ShowChangeContext(_localctx);
-				enterOuterAlt(_localctx, 6);
+				enterOuterAlt(_localctx, 7);
 				{
-				setState(100);
+				setState(114);
 				match(CHANGE);
-				setState(101);
+				setState(115);
 				name();
 				}
 				break;
@@ -791,15 +880,15 @@
 		enterRule(_localctx, 8, RULE_operationPart);
 		int _la;
 		try {
-			setState(114);
+			setState(128);
 			_errHandler.sync(this);
 			switch (_input.LA(1)) {
 			case IMPORTANCE:
 				enterOuterAlt(_localctx, 1);
 				{
-				setState(104);
+				setState(118);
 				match(IMPORTANCE);
-				setState(105);
+				setState(119);
 				name();
 				}
 				break;
@@ -807,28 +896,28 @@
 			case IDEMPOTENT:
 				enterOuterAlt(_localctx, 2);
 				{
-				setState(107);
+				setState(121);
 				_errHandler.sync(this);
 				_la = _input.LA(1);
 				if (_la==NOT) {
 					{
-					setState(106);
+					setState(120);
 					match(NOT);
 					}
 				}
 
-				setState(109);
+				setState(123);
 				match(IDEMPOTENT);
 				}
 				break;
 			case DEADLINE:
 				enterOuterAlt(_localctx, 3);
 				{
-				setState(110);
+				setState(124);
 				match(DEADLINE);
-				setState(111);
+				setState(125);
 				number();
-				setState(112);
+				setState(126);
 				match(MS);
 				}
 				break;
@@ -847,6 +936,113 @@
 		return _localctx;
 	}
 
+	@SuppressWarnings("CheckReturnValue")
+	public static class TeamPartContext extends ParserRuleContext {
+		public TerminalNode IMPORTANCE() { return getToken(OperatorParser.IMPORTANCE, 0); }
+		public List<NameContext> name() {
+			return getRuleContexts(NameContext.class);
+		}
+		public NameContext name(int i) {
+			return getRuleContext(NameContext.class,i);
+		}
+		public TerminalNode RATE() { return getToken(OperatorParser.RATE, 0); }
+		public List<NumberContext> number() {
+			return getRuleContexts(NumberContext.class);
+		}
+		public NumberContext number(int i) {
+			return getRuleContext(NumberContext.class,i);
+		}
+		public TerminalNode BURST() { return getToken(OperatorParser.BURST, 0); }
+		public TerminalNode KEYS() { return getToken(OperatorParser.KEYS, 0); }
+		public TeamPartContext(ParserRuleContext parent, int invokingState) {
+			super(parent, invokingState);
+		}
+		@Override public int getRuleIndex() { return RULE_teamPart; }
+		@Override
+		public <T> T accept(ParseTreeVisitor<? extends T> visitor) {
+			if ( visitor instanceof OperatorVisitor ) return ((OperatorVisitor<? extends T>)visitor).visitTeamPart(this);
+			else return visitor.visitChildren(this);
+		}
+	}
+
+	public final TeamPartContext teamPart() throws RecognitionException {
+		TeamPartContext _localctx = new TeamPartContext(_ctx, getState());
+		enterRule(_localctx, 10, RULE_teamPart);
+		int _la;
+		try {
+			setState(147);
+			_errHandler.sync(this);
+			switch (_input.LA(1)) {
+			case IMPORTANCE:
+				enterOuterAlt(_localctx, 1);
+				{
+				setState(130);
+				match(IMPORTANCE);
+				setState(131);
+				name();
+				}
+				break;
+			case RATE:
+				enterOuterAlt(_localctx, 2);
+				{
+				setState(132);
+				match(RATE);
+				setState(133);
+				number();
+				setState(136);
+				_errHandler.sync(this);
+				_la = _input.LA(1);
+				if (_la==BURST) {
+					{
+					setState(134);
+					match(BURST);
+					setState(135);
+					number();
+					}
+				}
+
+				}
+				break;
+			case KEYS:
+				enterOuterAlt(_localctx, 3);
+				{
+				setState(138);
+				match(KEYS);
+				setState(139);
+				name();
+				setState(144);
+				_errHandler.sync(this);
+				_la = _input.LA(1);
+				while (_la==T__3) {
+					{
+					{
+					setState(140);
+					match(T__3);
+					setState(141);
+					name();
+					}
+					}
+					setState(146);
+					_errHandler.sync(this);
+					_la = _input.LA(1);
+				}
+				}
+				break;
+			default:
+				throw new NoViableAltException(this);
+			}
+		}
+		catch (RecognitionException re) {
+			_localctx.exception = re;
+			_errHandler.reportError(this, re);
+			_errHandler.recover(this, re);
+		}
+		finally {
+			exitRule();
+		}
+		return _localctx;
+	}
+
 	@SuppressWarnings("CheckReturnValue")
 	public static class ScopeContext extends ParserRuleContext {
 		public TerminalNode HOST() { return getToken(OperatorParser.HOST, 0); }
@@ -864,12 +1060,12 @@
 
 	public final ScopeContext scope() throws RecognitionException {
 		ScopeContext _localctx = new ScopeContext(_ctx, getState());
-		enterRule(_localctx, 10, RULE_scope);
+		enterRule(_localctx, 12, RULE_scope);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(116);
+			setState(149);
 			_la = _input.LA(1);
 			if ( !(_la==HOST || _la==DOMAIN) ) {
 			_errHandler.recoverInline(this);
@@ -911,14 +1107,14 @@
 
 	public final GroupingContext grouping() throws RecognitionException {
 		GroupingContext _localctx = new GroupingContext(_ctx, getState());
-		enterRule(_localctx, 12, RULE_grouping);
+		enterRule(_localctx, 14, RULE_grouping);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(118);
+			setState(151);
 			_la = _input.LA(1);
-			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 21474836800L) != 0)) ) {
+			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 42949673600L) != 0)) ) {
 			_errHandler.recoverInline(this);
 			}
 			else {
@@ -955,11 +1151,11 @@
 
 	public final NumberContext number() throws RecognitionException {
 		NumberContext _localctx = new NumberContext(_ctx, getState());
-		enterRule(_localctx, 14, RULE_number);
+		enterRule(_localctx, 16, RULE_number);
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(120);
+			setState(153);
 			match(NUMBER);
 			}
 		}
@@ -1009,6 +1205,12 @@
 		public TerminalNode HOST() { return getToken(OperatorParser.HOST, 0); }
 		public TerminalNode DOMAIN() { return getToken(OperatorParser.DOMAIN, 0); }
 		public TerminalNode REASON() { return getToken(OperatorParser.REASON, 0); }
+		public TerminalNode TEAM() { return getToken(OperatorParser.TEAM, 0); }
+		public TerminalNode TEAMS() { return getToken(OperatorParser.TEAMS, 0); }
+		public TerminalNode REMOVE() { return getToken(OperatorParser.REMOVE, 0); }
+		public TerminalNode RATE() { return getToken(OperatorParser.RATE, 0); }
+		public TerminalNode BURST() { return getToken(OperatorParser.BURST, 0); }
+		public TerminalNode KEYS() { return getToken(OperatorParser.KEYS, 0); }
 		public NameContext(ParserRuleContext parent, int invokingState) {
 			super(parent, invokingState);
 		}
@@ -1022,14 +1224,14 @@
 
 	public final NameContext name() throws RecognitionException {
 		NameContext _localctx = new NameContext(_ctx, getState());
-		enterRule(_localctx, 16, RULE_name);
+		enterRule(_localctx, 18, RULE_name);
 		int _la;
 		try {
 			enterOuterAlt(_localctx, 1);
 			{
-			setState(122);
+			setState(155);
 			_la = _input.LA(1);
-			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 137438953456L) != 0)) ) {
+			if ( !((((_la) & ~0x3f) == 0 && ((1L << _la) & 17592186044384L) != 0)) ) {
 			_errHandler.recoverInline(this);
 			}
 			else {
@@ -1051,82 +1253,106 @@
 	}
 
 	public static final String _serializedATN =
-		"\u0004\u0001\'}\u0002\u0000\u0007\u0000\u0002\u0001\u0007\u0001\u0002"+
+		"\u0004\u0001.\u009e\u0002\u0000\u0007\u0000\u0002\u0001\u0007\u0001\u0002"+
 		"\u0002\u0007\u0002\u0002\u0003\u0007\u0003\u0002\u0004\u0007\u0004\u0002"+
 		"\u0005\u0007\u0005\u0002\u0006\u0007\u0006\u0002\u0007\u0007\u0007\u0002"+
-		"\b\u0007\b\u0001\u0000\u0003\u0000\u0014\b\u0000\u0001\u0000\u0001\u0000"+
-		"\u0001\u0000\u0005\u0000\u0019\b\u0000\n\u0000\f\u0000\u001c\t\u0000\u0001"+
-		"\u0000\u0003\u0000\u001f\b\u0000\u0001\u0000\u0001\u0000\u0001\u0001\u0001"+
-		"\u0001\u0001\u0001\u0001\u0001\u0001\u0002\u0001\u0002\u0001\u0002\u0001"+
-		"\u0002\u0001\u0002\u0005\u0002,\b\u0002\n\u0002\f\u0002/\t\u0002\u0001"+
-		"\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0005\u00026\b"+
-		"\u0002\n\u0002\f\u00029\t\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001"+
-		"\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001"+
-		"\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001"+
-		"\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0003"+
-		"\u0002P\b\u0002\u0001\u0003\u0001\u0003\u0001\u0003\u0001\u0003\u0001"+
-		"\u0003\u0001\u0003\u0001\u0003\u0003\u0003Y\b\u0003\u0001\u0003\u0001"+
-		"\u0003\u0003\u0003]\b\u0003\u0001\u0003\u0001\u0003\u0001\u0003\u0001"+
-		"\u0003\u0003\u0003c\b\u0003\u0001\u0003\u0001\u0003\u0003\u0003g\b\u0003"+
-		"\u0001\u0004\u0001\u0004\u0001\u0004\u0003\u0004l\b\u0004\u0001\u0004"+
-		"\u0001\u0004\u0001\u0004\u0001\u0004\u0001\u0004\u0003\u0004s\b\u0004"+
-		"\u0001\u0005\u0001\u0005\u0001\u0006\u0001\u0006\u0001\u0007\u0001\u0007"+
-		"\u0001\b\u0001\b\u0001\b\u0000\u0000\t\u0000\u0002\u0004\u0006\b\n\f\u000e"+
-		"\u0010\u0000\u0003\u0001\u0000 !\u0004\u0000\u0006\u0006\b\b  \"\"\u0001"+
-		"\u0000\u0004$\u008c\u0000\u0013\u0001\u0000\u0000\u0000\u0002\"\u0001"+
-		"\u0000\u0000\u0000\u0004O\u0001\u0000\u0000\u0000\u0006f\u0001\u0000\u0000"+
-		"\u0000\br\u0001\u0000\u0000\u0000\nt\u0001\u0000\u0000\u0000\fv\u0001"+
-		"\u0000\u0000\u0000\u000ex\u0001\u0000\u0000\u0000\u0010z\u0001\u0000\u0000"+
-		"\u0000\u0012\u0014\u0003\u0002\u0001\u0000\u0013\u0012\u0001\u0000\u0000"+
-		"\u0000\u0013\u0014\u0001\u0000\u0000\u0000\u0014\u0015\u0001\u0000\u0000"+
-		"\u0000\u0015\u001a\u0003\u0004\u0002\u0000\u0016\u0017\u0005\u0001\u0000"+
-		"\u0000\u0017\u0019\u0003\u0004\u0002\u0000\u0018\u0016\u0001\u0000\u0000"+
-		"\u0000\u0019\u001c\u0001\u0000\u0000\u0000\u001a\u0018\u0001\u0000\u0000"+
-		"\u0000\u001a\u001b\u0001\u0000\u0000\u0000\u001b\u001e\u0001\u0000\u0000"+
-		"\u0000\u001c\u001a\u0001\u0000\u0000\u0000\u001d\u001f\u0005\u0001\u0000"+
-		"\u0000\u001e\u001d\u0001\u0000\u0000\u0000\u001e\u001f\u0001\u0000\u0000"+
-		"\u0000\u001f \u0001\u0000\u0000\u0000 !\u0005\u0000\u0000\u0001!\u0001"+
-		"\u0001\u0000\u0000\u0000\"#\u0005\u0004\u0000\u0000#$\u0005\u0005\u0000"+
-		"\u0000$%\u0003\u000e\u0007\u0000%\u0003\u0001\u0000\u0000\u0000&\'\u0005"+
-		"\u0006\u0000\u0000\'(\u0005\u0007\u0000\u0000(-\u0003\u0010\b\u0000)*"+
-		"\u0005\u0002\u0000\u0000*,\u0003\u0010\b\u0000+)\u0001\u0000\u0000\u0000"+
-		",/\u0001\u0000\u0000\u0000-+\u0001\u0000\u0000\u0000-.\u0001\u0000\u0000"+
-		"\u0000.P\u0001\u0000\u0000\u0000/-\u0001\u0000\u0000\u000001\u0005\b\u0000"+
-		"\u000012\u0003\u0010\b\u000023\u0005\u0003\u0000\u000037\u0003\u0010\b"+
-		"\u000046\u0003\b\u0004\u000054\u0001\u0000\u0000\u000069\u0001\u0000\u0000"+
-		"\u000075\u0001\u0000\u0000\u000078\u0001\u0000\u0000\u00008P\u0001\u0000"+
-		"\u0000\u000097\u0001\u0000\u0000\u0000:;\u0005\t\u0000\u0000;<\u0005\n"+
-		"\u0000\u0000<P\u0003\u000e\u0007\u0000=>\u0005\u000b\u0000\u0000>?\u0003"+
-		"\n\u0005\u0000?@\u0003\u0010\b\u0000@P\u0001\u0000\u0000\u0000AB\u0005"+
-		"\f\u0000\u0000BC\u0003\n\u0005\u0000CD\u0003\u0010\b\u0000DP\u0001\u0000"+
-		"\u0000\u0000EF\u0005\r\u0000\u0000FP\u0003\u0010\b\u0000GH\u0005\u000e"+
-		"\u0000\u0000HP\u0003\u0010\b\u0000IJ\u0005\u000f\u0000\u0000JP\u0003\u0006"+
-		"\u0003\u0000KL\u0005\u0019\u0000\u0000LM\u0005\u001a\u0000\u0000MP\u0003"+
-		"\u0010\b\u0000NP\u0005\u001b\u0000\u0000O&\u0001\u0000\u0000\u0000O0\u0001"+
-		"\u0000\u0000\u0000O:\u0001\u0000\u0000\u0000O=\u0001\u0000\u0000\u0000"+
-		"OA\u0001\u0000\u0000\u0000OE\u0001\u0000\u0000\u0000OG\u0001\u0000\u0000"+
-		"\u0000OI\u0001\u0000\u0000\u0000OK\u0001\u0000\u0000\u0000ON\u0001\u0000"+
-		"\u0000\u0000P\u0005\u0001\u0000\u0000\u0000Qg\u0005\u0010\u0000\u0000"+
-		"Rg\u0005\u0011\u0000\u0000Sg\u0005\u0012\u0000\u0000Tg\u0005\r\u0000\u0000"+
-		"UX\u0005\u0013\u0000\u0000VW\u0005\u0014\u0000\u0000WY\u0003\f\u0006\u0000"+
-		"XV\u0001\u0000\u0000\u0000XY\u0001\u0000\u0000\u0000Y\\\u0001\u0000\u0000"+
-		"\u0000Z[\u0005\u0015\u0000\u0000[]\u0003\u000e\u0007\u0000\\Z\u0001\u0000"+
-		"\u0000\u0000\\]\u0001\u0000\u0000\u0000]b\u0001\u0000\u0000\u0000^_\u0005"+
-		"\u0016\u0000\u0000_`\u0003\u000e\u0007\u0000`a\u0005\u0017\u0000\u0000"+
-		"ac\u0001\u0000\u0000\u0000b^\u0001\u0000\u0000\u0000bc\u0001\u0000\u0000"+
-		"\u0000cg\u0001\u0000\u0000\u0000de\u0005\u0018\u0000\u0000eg\u0003\u0010"+
-		"\b\u0000fQ\u0001\u0000\u0000\u0000fR\u0001\u0000\u0000\u0000fS\u0001\u0000"+
-		"\u0000\u0000fT\u0001\u0000\u0000\u0000fU\u0001\u0000\u0000\u0000fd\u0001"+
-		"\u0000\u0000\u0000g\u0007\u0001\u0000\u0000\u0000hi\u0005\u0006\u0000"+
-		"\u0000is\u0003\u0010\b\u0000jl\u0005\u001c\u0000\u0000kj\u0001\u0000\u0000"+
-		"\u0000kl\u0001\u0000\u0000\u0000lm\u0001\u0000\u0000\u0000ms\u0005\u001d"+
-		"\u0000\u0000no\u0005\u001e\u0000\u0000op\u0003\u000e\u0007\u0000pq\u0005"+
-		"\u001f\u0000\u0000qs\u0001\u0000\u0000\u0000rh\u0001\u0000\u0000\u0000"+
-		"rk\u0001\u0000\u0000\u0000rn\u0001\u0000\u0000\u0000s\t\u0001\u0000\u0000"+
-		"\u0000tu\u0007\u0000\u0000\u0000u\u000b\u0001\u0000\u0000\u0000vw\u0007"+
-		"\u0001\u0000\u0000w\r\u0001\u0000\u0000\u0000xy\u0005#\u0000\u0000y\u000f"+
-		"\u0001\u0000\u0000\u0000z{\u0007\u0002\u0000\u0000{\u0011\u0001\u0000"+
-		"\u0000\u0000\f\u0013\u001a\u001e-7OX\\bfkr";
+		"\b\u0007\b\u0002\t\u0007\t\u0001\u0000\u0003\u0000\u0016\b\u0000\u0001"+
+		"\u0000\u0001\u0000\u0001\u0000\u0005\u0000\u001b\b\u0000\n\u0000\f\u0000"+
+		"\u001e\t\u0000\u0001\u0000\u0003\u0000!\b\u0000\u0001\u0000\u0001\u0000"+
+		"\u0001\u0001\u0001\u0001\u0001\u0001\u0001\u0001\u0001\u0002\u0001\u0002"+
+		"\u0001\u0002\u0001\u0002\u0001\u0002\u0005\u0002.\b\u0002\n\u0002\f\u0002"+
+		"1\t\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002"+
+		"\u0005\u00028\b\u0002\n\u0002\f\u0002;\t\u0002\u0001\u0002\u0001\u0002"+
+		"\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002"+
+		"\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002"+
+		"\u0005\u0002K\b\u0002\n\u0002\f\u0002N\t\u0002\u0001\u0002\u0001\u0002"+
+		"\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002"+
+		"\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0001\u0002\u0003\u0002"+
+		"]\b\u0002\u0001\u0003\u0001\u0003\u0001\u0003\u0001\u0003\u0001\u0003"+
+		"\u0001\u0003\u0001\u0003\u0001\u0003\u0003\u0003g\b\u0003\u0001\u0003"+
+		"\u0001\u0003\u0003\u0003k\b\u0003\u0001\u0003\u0001\u0003\u0001\u0003"+
+		"\u0001\u0003\u0003\u0003q\b\u0003\u0001\u0003\u0001\u0003\u0003\u0003"+
+		"u\b\u0003\u0001\u0004\u0001\u0004\u0001\u0004\u0003\u0004z\b\u0004\u0001"+
+		"\u0004\u0001\u0004\u0001\u0004\u0001\u0004\u0001\u0004\u0003\u0004\u0081"+
+		"\b\u0004\u0001\u0005\u0001\u0005\u0001\u0005\u0001\u0005\u0001\u0005\u0001"+
+		"\u0005\u0003\u0005\u0089\b\u0005\u0001\u0005\u0001\u0005\u0001\u0005\u0001"+
+		"\u0005\u0005\u0005\u008f\b\u0005\n\u0005\f\u0005\u0092\t\u0005\u0003\u0005"+
+		"\u0094\b\u0005\u0001\u0006\u0001\u0006\u0001\u0007\u0001\u0007\u0001\b"+
+		"\u0001\b\u0001\t\u0001\t\u0001\t\u0000\u0000\n\u0000\u0002\u0004\u0006"+
+		"\b\n\f\u000e\u0010\u0012\u0000\u0003\u0001\u0000!\"\u0004\u0000\u0007"+
+		"\u0007\t\t!!##\u0001\u0000\u0005+\u00b4\u0000\u0015\u0001\u0000\u0000"+
+		"\u0000\u0002$\u0001\u0000\u0000\u0000\u0004\\\u0001\u0000\u0000\u0000"+
+		"\u0006t\u0001\u0000\u0000\u0000\b\u0080\u0001\u0000\u0000\u0000\n\u0093"+
+		"\u0001\u0000\u0000\u0000\f\u0095\u0001\u0000\u0000\u0000\u000e\u0097\u0001"+
+		"\u0000\u0000\u0000\u0010\u0099\u0001\u0000\u0000\u0000\u0012\u009b\u0001"+
+		"\u0000\u0000\u0000\u0014\u0016\u0003\u0002\u0001\u0000\u0015\u0014\u0001"+
+		"\u0000\u0000\u0000\u0015\u0016\u0001\u0000\u0000\u0000\u0016\u0017\u0001"+
+		"\u0000\u0000\u0000\u0017\u001c\u0003\u0004\u0002\u0000\u0018\u0019\u0005"+
+		"\u0001\u0000\u0000\u0019\u001b\u0003\u0004\u0002\u0000\u001a\u0018\u0001"+
+		"\u0000\u0000\u0000\u001b\u001e\u0001\u0000\u0000\u0000\u001c\u001a\u0001"+
+		"\u0000\u0000\u0000\u001c\u001d\u0001\u0000\u0000\u0000\u001d \u0001\u0000"+
+		"\u0000\u0000\u001e\u001c\u0001\u0000\u0000\u0000\u001f!\u0005\u0001\u0000"+
+		"\u0000 \u001f\u0001\u0000\u0000\u0000 !\u0001\u0000\u0000\u0000!\"\u0001"+
+		"\u0000\u0000\u0000\"#\u0005\u0000\u0000\u0001#\u0001\u0001\u0000\u0000"+
+		"\u0000$%\u0005\u0005\u0000\u0000%&\u0005\u0006\u0000\u0000&\'\u0003\u0010"+
+		"\b\u0000\'\u0003\u0001\u0000\u0000\u0000()\u0005\u0007\u0000\u0000)*\u0005"+
+		"\b\u0000\u0000*/\u0003\u0012\t\u0000+,\u0005\u0002\u0000\u0000,.\u0003"+
+		"\u0012\t\u0000-+\u0001\u0000\u0000\u0000.1\u0001\u0000\u0000\u0000/-\u0001"+
+		"\u0000\u0000\u0000/0\u0001\u0000\u0000\u00000]\u0001\u0000\u0000\u0000"+
+		"1/\u0001\u0000\u0000\u000023\u0005\t\u0000\u000034\u0003\u0012\t\u0000"+
+		"45\u0005\u0003\u0000\u000059\u0003\u0012\t\u000068\u0003\b\u0004\u0000"+
+		"76\u0001\u0000\u0000\u00008;\u0001\u0000\u0000\u000097\u0001\u0000\u0000"+
+		"\u00009:\u0001\u0000\u0000\u0000:]\u0001\u0000\u0000\u0000;9\u0001\u0000"+
+		"\u0000\u0000<=\u0005\n\u0000\u0000=>\u0005\u000b\u0000\u0000>]\u0003\u0010"+
+		"\b\u0000?@\u0005\f\u0000\u0000@A\u0003\f\u0006\u0000AB\u0003\u0012\t\u0000"+
+		"B]\u0001\u0000\u0000\u0000CD\u0005\r\u0000\u0000DE\u0003\f\u0006\u0000"+
+		"EF\u0003\u0012\t\u0000F]\u0001\u0000\u0000\u0000GH\u0005$\u0000\u0000"+
+		"HL\u0003\u0012\t\u0000IK\u0003\n\u0005\u0000JI\u0001\u0000\u0000\u0000"+
+		"KN\u0001\u0000\u0000\u0000LJ\u0001\u0000\u0000\u0000LM\u0001\u0000\u0000"+
+		"\u0000M]\u0001\u0000\u0000\u0000NL\u0001\u0000\u0000\u0000OP\u0005&\u0000"+
+		"\u0000PQ\u0005$\u0000\u0000Q]\u0003\u0012\t\u0000RS\u0005\u000e\u0000"+
+		"\u0000S]\u0003\u0012\t\u0000TU\u0005\u000f\u0000\u0000U]\u0003\u0012\t"+
+		"\u0000VW\u0005\u0010\u0000\u0000W]\u0003\u0006\u0003\u0000XY\u0005\u001a"+
+		"\u0000\u0000YZ\u0005\u001b\u0000\u0000Z]\u0003\u0012\t\u0000[]\u0005\u001c"+
+		"\u0000\u0000\\(\u0001\u0000\u0000\u0000\\2\u0001\u0000\u0000\u0000\\<"+
+		"\u0001\u0000\u0000\u0000\\?\u0001\u0000\u0000\u0000\\C\u0001\u0000\u0000"+
+		"\u0000\\G\u0001\u0000\u0000\u0000\\O\u0001\u0000\u0000\u0000\\R\u0001"+
+		"\u0000\u0000\u0000\\T\u0001\u0000\u0000\u0000\\V\u0001\u0000\u0000\u0000"+
+		"\\X\u0001\u0000\u0000\u0000\\[\u0001\u0000\u0000\u0000]\u0005\u0001\u0000"+
+		"\u0000\u0000^u\u0005\u0011\u0000\u0000_u\u0005\u0012\u0000\u0000`u\u0005"+
+		"\u0013\u0000\u0000au\u0005%\u0000\u0000bu\u0005\u000e\u0000\u0000cf\u0005"+
+		"\u0014\u0000\u0000de\u0005\u0015\u0000\u0000eg\u0003\u000e\u0007\u0000"+
+		"fd\u0001\u0000\u0000\u0000fg\u0001\u0000\u0000\u0000gj\u0001\u0000\u0000"+
+		"\u0000hi\u0005\u0016\u0000\u0000ik\u0003\u0010\b\u0000jh\u0001\u0000\u0000"+
+		"\u0000jk\u0001\u0000\u0000\u0000kp\u0001\u0000\u0000\u0000lm\u0005\u0017"+
+		"\u0000\u0000mn\u0003\u0010\b\u0000no\u0005\u0018\u0000\u0000oq\u0001\u0000"+
+		"\u0000\u0000pl\u0001\u0000\u0000\u0000pq\u0001\u0000\u0000\u0000qu\u0001"+
+		"\u0000\u0000\u0000rs\u0005\u0019\u0000\u0000su\u0003\u0012\t\u0000t^\u0001"+
+		"\u0000\u0000\u0000t_\u0001\u0000\u0000\u0000t`\u0001\u0000\u0000\u0000"+
+		"ta\u0001\u0000\u0000\u0000tb\u0001\u0000\u0000\u0000tc\u0001\u0000\u0000"+
+		"\u0000tr\u0001\u0000\u0000\u0000u\u0007\u0001\u0000\u0000\u0000vw\u0005"+
+		"\u0007\u0000\u0000w\u0081\u0003\u0012\t\u0000xz\u0005\u001d\u0000\u0000"+
+		"yx\u0001\u0000\u0000\u0000yz\u0001\u0000\u0000\u0000z{\u0001\u0000\u0000"+
+		"\u0000{\u0081\u0005\u001e\u0000\u0000|}\u0005\u001f\u0000\u0000}~\u0003"+
+		"\u0010\b\u0000~\u007f\u0005 \u0000\u0000\u007f\u0081\u0001\u0000\u0000"+
+		"\u0000\u0080v\u0001\u0000\u0000\u0000\u0080y\u0001\u0000\u0000\u0000\u0080"+
+		"|\u0001\u0000\u0000\u0000\u0081\t\u0001\u0000\u0000\u0000\u0082\u0083"+
+		"\u0005\u0007\u0000\u0000\u0083\u0094\u0003\u0012\t\u0000\u0084\u0085\u0005"+
+		"\'\u0000\u0000\u0085\u0088\u0003\u0010\b\u0000\u0086\u0087\u0005(\u0000"+
+		"\u0000\u0087\u0089\u0003\u0010\b\u0000\u0088\u0086\u0001\u0000\u0000\u0000"+
+		"\u0088\u0089\u0001\u0000\u0000\u0000\u0089\u0094\u0001\u0000\u0000\u0000"+
+		"\u008a\u008b\u0005)\u0000\u0000\u008b\u0090\u0003\u0012\t\u0000\u008c"+
+		"\u008d\u0005\u0004\u0000\u0000\u008d\u008f\u0003\u0012\t\u0000\u008e\u008c"+
+		"\u0001\u0000\u0000\u0000\u008f\u0092\u0001\u0000\u0000\u0000\u0090\u008e"+
+		"\u0001\u0000\u0000\u0000\u0090\u0091\u0001\u0000\u0000\u0000\u0091\u0094"+
+		"\u0001\u0000\u0000\u0000\u0092\u0090\u0001\u0000\u0000\u0000\u0093\u0082"+
+		"\u0001\u0000\u0000\u0000\u0093\u0084\u0001\u0000\u0000\u0000\u0093\u008a"+
+		"\u0001\u0000\u0000\u0000\u0094\u000b\u0001\u0000\u0000\u0000\u0095\u0096"+
+		"\u0007\u0000\u0000\u0000\u0096\r\u0001\u0000\u0000\u0000\u0097\u0098\u0007"+
+		"\u0001\u0000\u0000\u0098\u000f\u0001\u0000\u0000\u0000\u0099\u009a\u0005"+
+		"*\u0000\u0000\u009a\u0011\u0001\u0000\u0000\u0000\u009b\u009c\u0007\u0002"+
+		"\u0000\u0000\u009c\u0013\u0001\u0000\u0000\u0000\u0010\u0015\u001c /9"+
+		"L\\fjpty\u0080\u0088\u0090\u0093";
 	public static final ATN _ATN =
 		new ATNDeserializer().deserialize(_serializedATN.toCharArray());
 	static {
--- a/language/src/main/java/org/anvillatch/language/grammar/OperatorVisitor.java
+++ b/language/src/main/java/org/anvillatch/language/grammar/OperatorVisitor.java
@@ -57,6 +57,20 @@
 	 * @return the visitor result
 	 */
 	T visitReturnToService(OperatorParser.ReturnToServiceContext ctx);
+	/**
+	 * Visit a parse tree produced by the {@code team}
+	 * labeled alternative in {@link OperatorParser#statement}.
+	 * @param ctx the parse tree
+	 * @return the visitor result
+	 */
+	T visitTeam(OperatorParser.TeamContext ctx);
+	/**
+	 * Visit a parse tree produced by the {@code removeTeam}
+	 * labeled alternative in {@link OperatorParser#statement}.
+	 * @param ctx the parse tree
+	 * @return the visitor result
+	 */
+	T visitRemoveTeam(OperatorParser.RemoveTeamContext ctx);
 	/**
 	 * Visit a parse tree produced by the {@code quarantine}
 	 * labeled alternative in {@link OperatorParser#statement}.
@@ -113,6 +127,13 @@
 	 * @return the visitor result
 	 */
 	T visitShowHosts(OperatorParser.ShowHostsContext ctx);
+	/**
+	 * Visit a parse tree produced by the {@code showTeams}
+	 * labeled alternative in {@link OperatorParser#topic}.
+	 * @param ctx the parse tree
+	 * @return the visitor result
+	 */
+	T visitShowTeams(OperatorParser.ShowTeamsContext ctx);
 	/**
 	 * Visit a parse tree produced by the {@code showQuarantine}
 	 * labeled alternative in {@link OperatorParser#topic}.
@@ -140,6 +161,12 @@
 	 * @return the visitor result
 	 */
 	T visitOperationPart(OperatorParser.OperationPartContext ctx);
+	/**
+	 * Visit a parse tree produced by {@link OperatorParser#teamPart}.
+	 * @param ctx the parse tree
+	 * @return the visitor result
+	 */
+	T visitTeamPart(OperatorParser.TeamPartContext ctx);
 	/**
 	 * Visit a parse tree produced by {@link OperatorParser#scope}.
 	 * @param ctx the parse tree
