--- a/language/src/test/java/org/anvillatch/language/ScriptParserTest.java
+++ b/language/src/test/java/org/anvillatch/language/ScriptParserTest.java
@@ -50,8 +50,8 @@
     void readsTeams() {
         String first = "1".repeat(64);
         String second = "a".repeat(64);
-        ConfigurationChange team = new ConfigurationChange.Team(
-                "blue", new TeamPolicy("normal", 50, 100, List.of(first, second)));
+        ConfigurationChange team =
+                new ConfigurationChange.Team("blue", new TeamPolicy("normal", 50, 100, List.of(first, second)));
         Script script = parse(team.text() + "; team red; team rated rate 3; remove team team");
         assertThat(findings).isEmpty();
         assertThat(script.changes())
