--- a/decision/src/main/java/org/anvillatch/decision/routing/EndpointLoad.java
+++ b/decision/src/main/java/org/anvillatch/decision/routing/EndpointLoad.java
@@ -99,11 +99,6 @@
         return Math.max(1, report.microsAt(fresh ? pacePercent : ServiceTimeReport.USUAL_PACE_PERCENT));
     }
 
-    /** Returns the age in microseconds of the newest answer of the endpoint. */
-    long reportAgeMicros(long nowMicros) {
-        return nowMicros - reportedMicros;
-    }
-
     /**
      * Returns the service time; an advertised one takes precedence over this sender's estimate.
      *
--- a/decision/src/main/java/org/anvillatch/decision/routing/EndpointSelector.java
+++ b/decision/src/main/java/org/anvillatch/decision/routing/EndpointSelector.java
@@ -206,14 +206,13 @@
     private Member cheapest(List<Member> candidates, ServiceTimes times, Request request, long nowMicros) {
         Member best = null;
         double bestCost = Double.MAX_VALUE;
-        double fastest = fastestServiceTime(candidates);
+        double fastest = fastestServiceTime(candidates, times);
         for (Member member : candidates) {
             EndpointLoad load = load(member);
             if (load.level(request.operation(), nowMicros) > request.rank()) {
                 continue;
             }
-            double known =
-                    times.areReported() ? times.micros(member) : load.serviceTimeMicros(member.serviceTimeMicros());
+            double known = knownServiceTime(member, times);
             double serviceTime = known > 0 ? known : fastest;
             double cost = load.utilization(member.slots(), nowMicros) * serviceTime * domainFactor(member);
             if (cost < bestCost || cost == bestCost && known == 0) {
@@ -224,14 +223,19 @@
         return best;
     }
 
+    /** Returns the service time in microseconds by which endpoints are compared, 0 if it is not known. */
+    private double knownServiceTime(Member member, ServiceTimes times) {
+        return times.areReported() ? times.micros(member) : load(member).serviceTimeMicros(member.serviceTimeMicros());
+    }
+
     /**
      * Returns the lowest known service time. An endpoint that was never used is assumed to be as fast: with a fixed
      * assumption, it gets nothing while a faster one is idle, or all calls at once if the others are slower.
      */
-    private double fastestServiceTime(List<Member> candidates) {
+    private double fastestServiceTime(List<Member> candidates, ServiceTimes times) {
         double fastest = Double.MAX_VALUE;
         for (Member member : candidates) {
-            double known = load(member).serviceTimeMicros(member.serviceTimeMicros());
+            double known = knownServiceTime(member, times);
             fastest = known > 0 ? Math.min(fastest, known) : fastest;
         }
         return fastest == Double.MAX_VALUE ? 1 : fastest;
