Record endpoints that leave in the platform's store, and do not trust witnesses without a past

What callers saw: an endpoint's leaving was acknowledged with 200, then all hosts (or all but one) were killed and started again. A heartbeat that the endpoint had sent before arrived 4 s late and returned it to service: requests that may run once reached it 5 s after the acknowledgement and were lost when it exited (rule DRAIN).

Cause: the acknowledgement was kept in the memory of hosts only, and a host that starts took the answer of any other host as knowledge. Hosts that were killed together find each other first and confirm to each other that nothing is known.

Change: each process that leaves is recorded in the topic keyed.leavings before the answer, as well as at witnesses. A node that starts reads it, and asks witnesses, whose answers now carry their uptime: one that has not run since 5 s before this node's start proves nothing. LeavingRecovery decides when enough is known. A cold start waits no longer: the store was read and nobody has a past. Why it works: the store loses nothing that it has acknowledged, and the rule holds whatever number of machines is lost.

Considered and not chosen: see docs/design/endpoints.md.

--- a/decision/src/main/java/org/anvillatch/decision/drain/InstanceIdentity.java
+++ b/decision/src/main/java/org/anvillatch/decision/drain/InstanceIdentity.java
@@ -1,5 +1,7 @@
 package org.anvillatch.decision.drain;
 
+import java.util.Optional;
+
 /**
  * Identity of one process of an endpoint: the platform may restart the endpoint under the same id. Immutable and thread
  * safe.
@@ -13,12 +15,20 @@
     /**
      * Parses the form that {@link #toString} writes.
      *
-     * @param text text form of an identity
-     * @return the identity
+     * @param text text form of an identity, from another host or from the store
+     * @return the identity, empty if the text is not such a form
      */
-    public static InstanceIdentity parse(String text) {
+    public static Optional<InstanceIdentity> parse(String text) {
         int separator = text.lastIndexOf(SEPARATOR);
-        return new InstanceIdentity(text.substring(0, separator), Long.parseLong(text.substring(separator + 1)));
+        if (separator <= 0) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(
+                    new InstanceIdentity(text.substring(0, separator), Long.parseLong(text.substring(separator + 1))));
+        } catch (NumberFormatException malformed) {
+            return Optional.empty();
+        }
     }
 
     @Override
--- /dev/null
+++ b/decision/src/main/java/org/anvillatch/decision/drain/LeavingRecovery.java
@@ -0,0 +1,109 @@
+package org.anvillatch.decision.drain;
+
+import java.util.Optional;
+
+/**
+ * Decides when a host that has started knows which processes of its endpoint are leaving. Two sources can tell: the
+ * platform's store, and other hosts that were told before this host ended.
+ *
+ * <p>Another host is a witness only if it has a past: it must have run since before the earliest acknowledgement that can
+ * still matter, {@link EndpointProcesses#MAX_LATENESS_MICROS} before the start of this host. A host that started
+ * together with this one knows nothing, and its answer proves nothing.
+ *
+ * <p>Invariants: recovery never ends on the word of hosts without a past alone; it ends at the latest
+ * {@link EndpointProcesses#MAX_LATENESS_MICROS} after the start, since reports that arrive from then on were sent after
+ * it. Not thread safe: owned by the host's decision loop.
+ */
+public final class LeavingRecovery {
+    private final long startMicros;
+    private StoreState store = StoreState.PENDING;
+    private boolean witnessAnswered;
+    private boolean noWitnessFound;
+
+    /** What is known from the store. */
+    private enum StoreState {
+        /** No answer yet. */
+        PENDING,
+        /** The first read succeeded. */
+        READ,
+        /** A read failed. The store may have been unavailable before the start as well, and lack acknowledgements. */
+        UNRELIABLE
+    }
+
+    /** What a recovery rests on. */
+    public enum Basis {
+        /** The store, and a witness. */
+        STORE_AND_WITNESS,
+        /** A witness; the store does not answer. */
+        WITNESS,
+        /** The store; no other host has a past. */
+        STORE,
+        /** The time since the start: older reports have arrived. */
+        TIME
+    }
+
+    /**
+     * Creates the decision for a host that starts.
+     *
+     * @param startMicros time of the start in microseconds
+     */
+    public LeavingRecovery(long startMicros) {
+        this.startMicros = startMicros;
+    }
+
+    /** Records that the store has answered. */
+    public void storeRead() {
+        if (store == StoreState.PENDING) {
+            store = StoreState.READ;
+        }
+    }
+
+    /** Records that the store has not answered. */
+    public void storeFailed() {
+        store = StoreState.UNRELIABLE;
+    }
+
+    /**
+     * Records the answer of another host.
+     *
+     * @param uptimeMicros time for which that host has run, in microseconds; 0 if it does not say
+     * @param nowMicros current time in microseconds
+     */
+    public void hostAnswered(long uptimeMicros, long nowMicros) {
+        long uptimeAtStart = uptimeMicros - (nowMicros - startMicros);
+        if (uptimeAtStart >= EndpointProcesses.MAX_LATENESS_MICROS) {
+            witnessAnswered = true;
+        }
+    }
+
+    /** Records that all hosts that were asked have answered, or that there is no other host. */
+    public void allHostsAnswered() {
+        noWitnessFound = !witnessAnswered;
+    }
+
+    /**
+     * Returns whether a witness has answered.
+     *
+     * @return false while only hosts without a past have answered
+     */
+    public boolean hasWitness() {
+        return witnessAnswered;
+    }
+
+    /**
+     * Returns what the recovery rests on.
+     *
+     * @param nowMicros current time in microseconds
+     * @return empty while it is not known which processes are leaving
+     */
+    public Optional<Basis> basis(long nowMicros) {
+        if (witnessAnswered && store != StoreState.PENDING) {
+            return Optional.of(store == StoreState.READ ? Basis.STORE_AND_WITNESS : Basis.WITNESS);
+        }
+        if (noWitnessFound && store == StoreState.READ) {
+            return Optional.of(Basis.STORE);
+        }
+        boolean late = nowMicros - startMicros >= EndpointProcesses.MAX_LATENESS_MICROS;
+        return late ? Optional.of(Basis.TIME) : Optional.empty();
+    }
+}
--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -138,7 +138,7 @@
                 gatekeeperService,
                 membershipService,
                 new RouteTableService(loop, state, peers),
-                new LeavingWitnesses(loop, state, peers, membershipService, metrics),
+                new LeavingWitnesses(loop, state, peers, metrics),
                 allowances);
         NodePeerHandler peerHandler = new NodePeerHandler(
                 loop,
--- a/node/src/main/java/org/anvillatch/node/membership/LeavingWitnesses.java
+++ b/node/src/main/java/org/anvillatch/node/membership/LeavingWitnesses.java
@@ -1,14 +1,10 @@
 package org.anvillatch.node.membership;
 
-import java.util.ArrayList;
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.function.Consumer;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
-import org.anvillatch.decision.drain.EndpointProcesses;
 import org.anvillatch.decision.drain.LeavingRecords;
 import org.anvillatch.decision.membership.Member;
 import org.anvillatch.decision.membership.Witnesses;
@@ -22,14 +18,14 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Keeps at other hosts which processes of this host's endpoint are leaving, so that the acknowledgement of a leaving
- * outlasts the process of this node, and does the same for other hosts.
+ * Tells other hosts which processes of this host's endpoint are leaving and asks them after a restart, and does the same
+ * for other hosts.
  *
- * <p>Invariants: a leaving counts as recorded only if {@link #MIN_CONFIRMATIONS} witnesses have confirmed it, or one if no
- * more do in time, or if no other host is known. Not thread safe: all methods are called on the decision loop.
+ * <p>Invariant: a process counts as witnessed only if {@link #MIN_CONFIRMATIONS} hosts have confirmed it, or one if no
+ * more do in time. Not thread safe: all methods are called on the decision loop.
  */
 public final class LeavingWitnesses {
-    /** Confirmations after which a leaving counts as recorded without waiting for the other witnesses. */
+    /** Confirmations after which a process counts as witnessed without waiting for the other hosts. */
     static final int MIN_CONFIRMATIONS = 2;
 
     private static final Logger LOG = LoggerFactory.getLogger(LeavingWitnesses.class);
@@ -46,57 +42,46 @@
      */
     private static final long ASK_TIMEOUT_MICROS = 300_000;
 
-    /** Time between two checks whether the witnesses can be asked, in microseconds. */
-    private static final long RECOVERY_CHECK_MICROS = 20_000;
-
-    /** Time between two rounds of asking while no witness answers, in microseconds. */
-    private static final long ASK_AGAIN_MICROS = 500_000;
-
     private final DecisionLoop loop;
     private final HostState state;
     private final PeerClient peers;
-    private final MembershipService membership;
-    private final MetricRegistry metrics;
     private final LeavingRecords records = new LeavingRecords();
-    private final List<RecoveryListener> waiting = new ArrayList<>();
-    private Consumer<List<String>> recoveryListener = processes -> {};
-    private long startMicros;
-    private boolean otherHostsExcluded;
-    private boolean recovered;
+    private final long createdMicros;
 
     /**
-     * Creates the service. It is a witness for others at once; {@link #recover} makes it ask about its own endpoint.
+     * Creates the service.
      *
      * @param loop runs the callbacks
      * @param state decision state of the host
      * @param peers client for other hosts
-     * @param membership tells whether the view of the hosts is complete
      * @param metrics registry for the gauges
      */
-    public LeavingWitnesses(
-            DecisionLoop loop,
-            HostState state,
-            PeerClient peers,
-            MembershipService membership,
-            MetricRegistry metrics) {
+    public LeavingWitnesses(DecisionLoop loop, HostState state, PeerClient peers, MetricRegistry metrics) {
         this.loop = loop;
         this.state = state;
         this.peers = peers;
-        this.membership = membership;
-        this.metrics = metrics;
+        this.createdMicros = loop.nowMicros();
         metrics.register("endpoint.witnessed_hosts", (Gauge<Integer>) records::hosts);
     }
 
-    /** Waits until it is known which processes of the endpoint are leaving. */
-    public interface RecoveryListener {
-        /** Called when it is known. */
-        void recovered();
-
-        /** Called when it is not known after the timeout. */
-        void delayed();
+    /** Receives what other hosts know. */
+    interface AnswerListener {
+        /**
+         * Called for each answer.
+         *
+         * @param answer processes that are leaving, and the uptime of the host
+         */
+        void answered(ControlMessages.LeavingAnswer answer);
+
+        /**
+         * Called after the last answer.
+         *
+         * @param answers number of hosts that have answered
+         */
+        void ended(int answers);
     }
 
-    /** Collects the answers of several witnesses to one message. */
+    /** Collects the answers of several hosts to one message. */
     private abstract class Round implements PeerClient.AnswerListener {
         private final int asked;
         private int answered;
@@ -147,16 +132,24 @@
     }
 
     /**
-     * Records at witnesses which processes of this host's endpoint are leaving.
+     * Returns whether another host is present that can be a witness.
+     *
+     * @return false if this host knows none
+     */
+    boolean isAnyPresent() {
+        return !state.membership().presentPeers().isEmpty();
+    }
+
+    /**
+     * Tells witnesses which processes of this host's endpoint are leaving.
      *
      * @param processes identities of the processes, the latest last
-     * @param done receives whether they were recorded
+     * @param done receives whether witnesses have confirmed
      */
-    public void record(List<String> processes, Consumer<Boolean> done) {
+    void tell(List<String> processes, Consumer<Boolean> done) {
         List<Member> witnesses = choose(Witnesses.TOLD_PER_DOMAIN);
         if (witnesses.isEmpty()) {
-            LOG.info("endpoint leaving processes={} recorded here only, no other host is known", processes);
-            done.accept(true);
+            done.accept(false);
             return;
         }
         long sentMicros = loop.nowMicros();
@@ -182,75 +175,22 @@
                 done.accept(answers > 0);
             }
         };
-        int from = Math.max(0, processes.size() - LeavingRecords.MAX_PROCESSES);
-        List<String> latest = List.copyOf(processes.subList(from, processes.size()));
-        PeerMessage notice = new ControlMessages.LeavingNotice(hostName(), latest);
+        PeerMessage notice = new ControlMessages.LeavingNotice(hostName(), processes);
         witnesses.forEach(witness -> peers.send(witness.address(), notice, RECORD_TIMEOUT_MICROS, round));
     }
 
     /**
-     * Asks the witnesses which processes of this host's endpoint are leaving.
+     * Asks other hosts which processes of this host's endpoint are leaving. Call it only if one is present.
      *
-     * @param listener receives the processes, the latest last, before the reports that wait; again with those that were
-     *     learned later if no witness answered in time
+     * @param listener receives the answers
      */
-    public void recover(Consumer<List<String>> listener) {
-        recoveryListener = listener;
-        startMicros = loop.nowMicros();
-        metrics.register("endpoint.recovered", (Gauge<Integer>) () -> recovered ? 1 : 0);
-        loop.schedule(EndpointProcesses.MAX_LATENESS_MICROS, () -> {
-            if (!recovered) {
-                // No witness is reachable. Reports that arrive from now on were sent after the start, the earlier ones
-                // may have been sent before.
-                waiting.clear();
-                finishRecovery("time", List.of());
-            }
-        });
-        tryRecovery();
-    }
-
-    /** Records that the store knows no other host, so that no host can be a witness. */
-    public void excludeOtherHosts() {
-        otherHostsExcluded = true;
-    }
-
-    /**
-     * Waits until it is known which processes of the endpoint are leaving.
-     *
-     * @param timeoutMicros time in microseconds after which the listener is told that it is not known yet
-     * @param listener told when it is known, also after the timeout
-     */
-    public void awaitRecovery(long timeoutMicros, RecoveryListener listener) {
-        if (recovered) {
-            listener.recovered();
-            return;
-        }
-        waiting.add(listener);
-        loop.schedule(timeoutMicros, () -> {
-            if (!recovered) {
-                listener.delayed();
-            }
-        });
-    }
-
-    private void tryRecovery() {
+    void ask(AnswerListener listener) {
         List<Member> witnesses = choose(Witnesses.ASKED_PER_DOMAIN);
-        if (!witnesses.isEmpty() && membership.isSynchronized()) {
-            ask(witnesses);
-        } else if (witnesses.isEmpty() && otherHostsExcluded) {
-            finishRecovery("no other host", List.of());
-        } else {
-            loop.schedule(recovered ? ASK_AGAIN_MICROS : RECOVERY_CHECK_MICROS, this::tryRecovery);
-        }
-    }
-
-    private void ask(List<Member> witnesses) {
-        Set<String> processes = new LinkedHashSet<>();
         Round round = new Round(witnesses.size()) {
             @Override
             boolean accept(PeerMessage message) {
                 if (message instanceof ControlMessages.LeavingAnswer answer) {
-                    processes.addAll(answer.processes());
+                    listener.answered(answer);
                     return true;
                 }
                 return false;
@@ -263,30 +203,13 @@
 
             @Override
             void end(int answers) {
-                if (answers == 0) {
-                    loop.schedule(ASK_AGAIN_MICROS, LeavingWitnesses.this::tryRecovery);
-                } else {
-                    finishRecovery(answers + " of " + witnesses.size() + " witnesses", List.copyOf(processes));
-                }
+                listener.ended(answers);
             }
         };
         PeerMessage query = new ControlMessages.LeavingQuery(hostName());
         witnesses.forEach(witness -> peers.send(witness.address(), query, ASK_TIMEOUT_MICROS, round));
     }
 
-    private void finishRecovery(String source, List<String> processes) {
-        LOG.info(
-                "endpoint recovered from={} leaving={} afterMicros={}",
-                source,
-                processes,
-                loop.nowMicros() - startMicros);
-        recovered = true;
-        recoveryListener.accept(processes);
-        List<RecoveryListener> told = List.copyOf(waiting);
-        waiting.clear();
-        told.forEach(RecoveryListener::recovered);
-    }
-
     /**
      * Answers a notice of another host.
      *
@@ -305,6 +228,7 @@
      * @param reply sends the answer
      */
     public void answer(ControlMessages.LeavingQuery query, PeerServer.Reply reply) {
-        reply.send(new ControlMessages.LeavingAnswer(records.of(query.host(), loop.nowMicros())));
+        long nowMicros = loop.nowMicros();
+        reply.send(new ControlMessages.LeavingAnswer(records.of(query.host(), nowMicros), nowMicros - createdMicros));
     }
 }
--- a/node/src/main/java/org/anvillatch/node/peer/ControlMessages.java
+++ b/node/src/main/java/org/anvillatch/node/peer/ControlMessages.java
@@ -180,6 +180,7 @@
      * Answers which processes of the endpoint on a host are leaving.
      *
      * @param processes identities of the processes, the latest last; empty if none is known
+     * @param uptimeMicros time for which the answering node has run, in microseconds; 0 from a node of an earlier version
      */
-    public record LeavingAnswer(List<String> processes) implements PeerMessage {}
+    public record LeavingAnswer(List<String> processes, long uptimeMicros) implements PeerMessage {}
 }
