--- a/node/src/main/java/org/anvillatch/node/listener/RequestBodies.java
+++ b/node/src/main/java/org/anvillatch/node/listener/RequestBodies.java
@@ -18,6 +18,7 @@
  * input buffer of the socket for each piece of a body, however small. Stateless and thread safe.
  */
 public final class RequestBodies {
+    private static final int CONTENT_TOO_LARGE = 413;
     private static final int SERVICE_UNAVAILABLE = 503;
 
     /** Thrown if there is no memory for a body; its request has not run. */
@@ -29,6 +30,15 @@
         }
     }
 
+    /** Thrown if a body is longer than its listener accepts. */
+    private static final class TooLongException extends IllegalStateException {
+        private static final long serialVersionUID = 1L;
+
+        private TooLongException() {
+            super("the body is too long");
+        }
+    }
+
     private RequestBodies() {}
 
     /**
@@ -72,6 +82,24 @@
         return true;
     }
 
+    /**
+     * Answers a request whose body is too long.
+     *
+     * @param failure why the body was not read
+     * @param response response to the request
+     * @param callback completed when the response was written
+     * @return false if there was another reason; nothing is written then
+     */
+    public static boolean refuseIfTooLong(Throwable failure, Response response, Callback callback) {
+        if (!(failure instanceof TooLongException)) {
+            return false;
+        }
+        response.setStatus(CONTENT_TOO_LARGE);
+        response.getHeaders().put(HttpHeader.CONNECTION, "close");
+        response.write(true, null, callback);
+        return true;
+    }
+
     private record ResultListener(Request request, CompletableFuture<byte[]> result) implements BodyReader.Listener {
         @Override
         public void completed(List<ByteBuffer> segments, Reservation reservation) {
@@ -81,7 +109,7 @@
 
         @Override
         public void tooLarge() {
-            result.completeExceptionally(new IllegalStateException("the body is too long"));
+            result.completeExceptionally(new TooLongException());
         }
 
         @Override
