Check frames between hosts before they are decoded

What an operator could see: 17 bytes on the peer port that claim a text of 2 GB raised an OutOfMemoryError in a node; a claim below the heap's size would have taken the memory of the decision loop, and five errors end the process. A digest without buckets or a message without its parts failed in the decision loop and was never answered.

Cause: the MessagePack decoder allocates what a length claims before it notices that the bytes are missing, and FrameCodec turns exceptions, not errors, into a malformed frame.

Change: MessagePackScanner checks lengths, counts and nesting against the bytes of the frame; the messages check their parts when they are created.

Evidence: before the change OddFramesTest ended with "OutOfMemoryError: Requested array size exceeds VM limit" for 29 of 32 kinds, and messageWithoutItsPartsIsMalformed and digestWithoutBucketsIsMalformed failed.

--- a/node/src/main/java/org/anvillatch/node/peer/ControlMessages.java
+++ b/node/src/main/java/org/anvillatch/node/peer/ControlMessages.java
@@ -1,11 +1,13 @@
 package org.anvillatch.node.peer;
 
 import java.util.List;
+import java.util.Objects;
 import java.util.Set;
 
 import org.anvillatch.decision.configuration.ConfigurationRecord;
 import org.anvillatch.decision.configuration.ConfigurationSnapshot;
 import org.anvillatch.decision.membership.Member;
+import org.anvillatch.decision.membership.MembershipDigest;
 import org.anvillatch.decision.quarantine.CrashSuspects;
 import org.anvillatch.decision.routing.RouteTable;
 import org.anvillatch.node.decisionlog.Decision;
@@ -24,7 +26,13 @@
      * @param updates recent membership updates
      * @param version version of the data that the sender holds, see VersionedState
      */
-    public record Ping(Member sender, List<Member> updates, long version) implements PeerMessage {}
+    public record Ping(Member sender, List<Member> updates, long version) implements PeerMessage {
+        /** Checks that no part is missing. */
+        public Ping {
+            Objects.requireNonNull(sender, "sender");
+            updates = List.copyOf(updates);
+        }
+    }
 
     /**
      * Answers a ping.
@@ -34,8 +42,13 @@
      * @param version version of the data that the answering host holds, see VersionedState
      * @param incarnation incarnation of the answering host, 0 from a node of an earlier version
      */
-    public record PingAnswer(String name, List<Member> updates, long version, long incarnation)
-            implements PeerMessage {}
+    public record PingAnswer(String name, List<Member> updates, long version, long incarnation) implements PeerMessage {
+        /** Checks that no part is missing. */
+        public PingAnswer {
+            Objects.requireNonNull(name, "name");
+            updates = List.copyOf(updates);
+        }
+    }
 
     /**
      * Asks a host to ping another host.
@@ -55,7 +68,16 @@
      * @param version version of the data that the sender holds, see VersionedState
      */
     public record Synchronize(String sender, int[] digest, List<CrashSuspects.Suspicion> suspicions, long version)
-            implements PeerMessage {}
+            implements PeerMessage {
+        /** Checks that no part is missing and that the digest is one of a view. */
+        public Synchronize {
+            Objects.requireNonNull(sender, "sender");
+            suspicions = List.copyOf(suspicions);
+            if (Integer.bitCount(digest.length) != 1 || digest.length > MembershipDigest.MAX_BUCKETS) {
+                throw new IllegalArgumentException("digest with " + digest.length + " buckets");
+            }
+        }
+    }
 
     /**
      * Answers a comparison of membership views.
@@ -67,14 +89,26 @@
      */
     public record SynchronizeAnswer(
             Set<Integer> differing, List<Member> members, List<CrashSuspects.Suspicion> suspicions, long version)
-            implements PeerMessage {}
+            implements PeerMessage {
+        /** Checks that no part is missing. */
+        public SynchronizeAnswer {
+            differing = Set.copyOf(differing);
+            members = List.copyOf(members);
+            suspicions = List.copyOf(suspicions);
+        }
+    }
 
     /**
      * Sends members to a host whose view differs.
      *
      * @param members the members as the sender knows them
      */
-    public record Members(List<Member> members) implements PeerMessage {}
+    public record Members(List<Member> members) implements PeerMessage {
+        /** Checks that no part is missing. */
+        public Members {
+            members = List.copyOf(members);
+        }
+    }
 
     /**
      * Cancels a request.
@@ -115,7 +149,12 @@
      *
      * @param suspicions pairs of a request's fingerprint and a crash at which the request was running
      */
-    public record Suspicions(List<CrashSuspects.Suspicion> suspicions) implements PeerMessage {}
+    public record Suspicions(List<CrashSuspects.Suspicion> suspicions) implements PeerMessage {
+        /** Checks that no part is missing. */
+        public Suspicions {
+            suspicions = List.copyOf(suspicions);
+        }
+    }
 
     /**
      * Acknowledges a message.
@@ -167,14 +206,25 @@
      * @param host name of the host
      * @param processes identities of the processes, the latest last
      */
-    public record LeavingNotice(String host, List<String> processes) implements PeerMessage {}
+    public record LeavingNotice(String host, List<String> processes) implements PeerMessage {
+        /** Checks that no part is missing. */
+        public LeavingNotice {
+            Objects.requireNonNull(host, "host");
+            processes = List.copyOf(processes);
+        }
+    }
 
     /**
      * Asks a witness which processes of the endpoint on a host are leaving.
      *
      * @param host name of the host
      */
-    public record LeavingQuery(String host) implements PeerMessage {}
+    public record LeavingQuery(String host) implements PeerMessage {
+        /** Checks that no part is missing. */
+        public LeavingQuery {
+            Objects.requireNonNull(host, "host");
+        }
+    }
 
     /**
      * Answers which processes of the endpoint on a host are leaving.
@@ -182,5 +232,10 @@
      * @param processes identities of the processes, the latest last; empty if none is known
      * @param uptimeMicros time for which the answering node has run, in microseconds; 0 from a node of an earlier version
      */
-    public record LeavingAnswer(List<String> processes, long uptimeMicros) implements PeerMessage {}
+    public record LeavingAnswer(List<String> processes, long uptimeMicros) implements PeerMessage {
+        /** Checks that no part is missing. */
+        public LeavingAnswer {
+            processes = List.copyOf(processes);
+        }
+    }
 }
--- a/node/src/main/java/org/anvillatch/node/peer/FrameCodec.java
+++ b/node/src/main/java/org/anvillatch/node/peer/FrameCodec.java
@@ -164,6 +164,10 @@
     }
 
     static PeerMessage decodeBody(MessageKind kind, byte[] body) throws FrameException {
+        if (kind == MessageKind.TRANSFER_DATA) {
+            return new TransferMessages.Data(body);
+        }
+        MessagePackScanner.check(body);
         try {
             if (kind == MessageKind.DISPATCH) {
                 return CallCodec.decodeDispatch(body);
@@ -171,9 +175,6 @@
             if (kind == MessageKind.CALL_ANSWER) {
                 return CallCodec.decodeAnswer(body);
             }
-            if (kind == MessageKind.TRANSFER_DATA) {
-                return new TransferMessages.Data(body);
-            }
             PeerMessage message = MAPPER.readValue(body, kind.type());
             if (message == null) {
                 throw new FrameException("message of kind " + kind + " is empty", null);
