Acknowledge a leaving only when the store has recorded it

What callers could see: an endpoint's leaving was acknowledged because other hosts had recorded it while the store was away. Then (a) its node was killed and asked a witness that had missed the notice while the store still did not answer, or (b) all witnesses were killed before the store was back. A late heartbeat returned the endpoint to service (rule DRAIN).

Cause: two sources, each accepted alone. Also, what a witness told after the recovery counted as recorded, so that the repeated deregistration was acknowledged although the store did not have it.

Change: the store decides alone; the acknowledgement waits for it, and so does a start (at most 5 s, after which no earlier report can arrive). Witnesses are still told and asked, for a store that comes back from an older copy. LeavingWitnesses and LeavingCommitments lose their rules of confirmation.

--- a/decision/src/main/java/org/anvillatch/decision/drain/LeavingRecovery.java
+++ b/decision/src/main/java/org/anvillatch/decision/drain/LeavingRecovery.java
@@ -3,39 +3,26 @@
 import java.util.Optional;
 
 /**
- * Decides when a host that has started knows which processes of its endpoint are leaving. Two sources can tell: the
- * platform's store, and other hosts that were told before this host ended.
+ * Decides when a host that has started knows which processes of its endpoint are leaving. The platform's store has every
+ * process whose leaving was acknowledged, unless it came back from an older copy; for that case other hosts are asked as well.
  *
  * <p>Another host is a witness only if it has a past: it must have run since before the earliest acknowledgement that can
  * still matter, {@link EndpointProcesses#MAX_LATENESS_MICROS} before the start of this host. A host that started
  * together with this one knows nothing, and its answer proves nothing.
  *
- * <p>Invariants: recovery never ends on the word of hosts without a past alone; it ends at the latest
- * {@link EndpointProcesses#MAX_LATENESS_MICROS} after the start, since reports that arrive from then on were sent after
- * it. Not thread safe: owned by the host's decision loop.
+ * <p>Invariants: recovery ends without the store only {@link EndpointProcesses#MAX_LATENESS_MICROS} after the start, since
+ * reports that arrive from then on were sent after it; and never later. Not thread safe: owned by the host's decision loop.
  */
 public final class LeavingRecovery {
     private final long startMicros;
-    private StoreState store = StoreState.PENDING;
+    private boolean storeRead;
     private boolean witnessAnswered;
     private boolean noWitnessFound;
 
-    /** What is known from the store. */
-    private enum StoreState {
-        /** No answer yet. */
-        PENDING,
-        /** The first read succeeded. */
-        READ,
-        /** A read failed. The store may have been unavailable before the start as well, and lack acknowledgements. */
-        UNRELIABLE
-    }
-
     /** What a recovery rests on. */
     public enum Basis {
         /** The store, and a witness. */
         STORE_AND_WITNESS,
-        /** A witness; the store does not answer. */
-        WITNESS,
         /** The store; no other host has a past. */
         STORE,
         /** The time since the start: older reports have arrived. */
@@ -53,14 +40,7 @@
 
     /** Records that the store has answered. */
     public void storeRead() {
-        if (store == StoreState.PENDING) {
-            store = StoreState.READ;
-        }
-    }
-
-    /** Records that the store has not answered. */
-    public void storeFailed() {
-        store = StoreState.UNRELIABLE;
+        storeRead = true;
     }
 
     /**
@@ -97,11 +77,8 @@
      * @return empty while it is not known which processes are leaving
      */
     public Optional<Basis> basis(long nowMicros) {
-        if (witnessAnswered && store != StoreState.PENDING) {
-            return Optional.of(store == StoreState.READ ? Basis.STORE_AND_WITNESS : Basis.WITNESS);
-        }
-        if (noWitnessFound && store == StoreState.READ) {
-            return Optional.of(Basis.STORE);
+        if (storeRead && (witnessAnswered || noWitnessFound)) {
+            return Optional.of(witnessAnswered ? Basis.STORE_AND_WITNESS : Basis.STORE);
         }
         boolean late = nowMicros - startMicros >= EndpointProcesses.MAX_LATENESS_MICROS;
         return late ? Optional.of(Basis.TIME) : Optional.empty();
--- a/decision/src/test/java/org/anvillatch/decision/drain/LeavingRecoveryTest.java
+++ b/decision/src/test/java/org/anvillatch/decision/drain/LeavingRecoveryTest.java
@@ -24,8 +24,7 @@
         recovery.hostAnswered(NOW - START, NOW);
         recovery.hostAnswered(LONG_UPTIME - 1, NOW);
         recovery.allHostsAnswered();
-        assertThat(basis()).isEmpty();
-        recovery.storeFailed();
+        assertThat(recovery.hasWitness()).isFalse();
         assertThat(basis()).isEmpty();
     }
 
@@ -37,22 +36,12 @@
         assertThat(basis()).hasValue(Basis.STORE);
     }
 
-    /** Guards against acknowledgements that were given while the store was unavailable, shortly before the start. */
-    @Test
-    void storeThatFailedIsNoProof() {
-        recovery.storeFailed();
-        recovery.storeRead();
-        recovery.allHostsAnswered();
-        assertThat(basis()).isEmpty();
-    }
-
+    /** Guards against a witness that was cut off when the leaving was acknowledged, while the store is away. */
     @Test
-    void witnessSufficesOnceTheStoreHasAnsweredOrFailed() {
+    void witnessAloneProvesNothing() {
         recovery.hostAnswered(LONG_UPTIME, NOW);
         recovery.allHostsAnswered();
         assertThat(basis()).isEmpty();
-        recovery.storeFailed();
-        assertThat(basis()).hasValue(Basis.WITNESS);
     }
 
     @Test
--- a/node/src/main/java/org/anvillatch/node/membership/LeavingCommitments.java
+++ b/node/src/main/java/org/anvillatch/node/membership/LeavingCommitments.java
@@ -19,9 +19,10 @@
 
 /**
  * Makes the acknowledgement that a process of the endpoint is leaving outlast this node: before it, the process is
- * recorded in the platform's store and at other hosts; after a start, both are asked.
+ * recorded in the platform's store, and other hosts are told; after a start, both are asked.
  *
- * <p>Invariants: nothing counts as recorded that only this host knows; recovery ends as {@link LeavingRecovery} decides.
+ * <p>Invariants: a process counts as recorded when the store has confirmed it; recovery ends as {@link LeavingRecovery}
+ * decides.
  * Not thread safe: all methods are called on the decision loop.
  */
 public final class LeavingCommitments {
@@ -56,38 +57,6 @@
         void delayed();
     }
 
-    /** Collects the results of the store and of the witnesses for one record. */
-    private final class Recording {
-        private final Consumer<Boolean> done;
-        private final boolean witnessPresent;
-        private Boolean storeResult;
-        private Boolean witnessResult;
-
-        private Recording(boolean witnessPresent, Consumer<Boolean> done) {
-            this.witnessPresent = witnessPresent;
-            this.done = done;
-        }
-
-        private void storeEnded(boolean durable) {
-            storeResult = durable;
-            if (!durable) {
-                metrics.counter("endpoint.leaving_not_stored").inc();
-            }
-            check();
-        }
-
-        private void witnessesEnded(boolean confirmed) {
-            witnessResult = confirmed;
-            check();
-        }
-
-        private void check() {
-            if (storeResult != null && witnessResult != null) {
-                done.accept(witnessPresent ? witnessResult : storeResult);
-            }
-        }
-    }
-
     /**
      * Creates the service; {@link #recover} makes it ask about the endpoint.
      *
@@ -114,14 +83,13 @@
      * Records which processes of this host's endpoint are leaving.
      *
      * @param processes identities of the processes, the latest last
-     * @param done receives whether they were recorded outside of this host
+     * @param done receives whether the store has recorded them
      */
     public void record(List<String> processes, Consumer<Boolean> done) {
         int from = Math.max(0, processes.size() - LeavingRecords.MAX_PROCESSES);
         List<String> latest = List.copyOf(processes.subList(from, processes.size()));
-        Recording recording = new Recording(witnesses.isAnyPresent(), done);
-        store.record(latest, recording::storeEnded);
-        witnesses.tell(latest, recording::witnessesEnded);
+        witnesses.tell(latest);
+        store.record(latest, done);
     }
 
     /**
@@ -177,7 +145,6 @@
                 stored = Set.copyOf(answer.get());
                 learn(answer.get());
             } else {
-                recovery.storeFailed();
                 loop.schedule(ASK_AGAIN_MICROS, this::readStore);
             }
             check();
@@ -242,7 +209,7 @@
         recovered = true;
         processListener.accept(processes);
         if (!stored.containsAll(processes)) {
-            // Acknowledged while the store was unavailable: without this, only the witnesses would know.
+            // The store has come back from a copy without them: without this, only the witnesses would know.
             store.record(processes, durable -> LOG.info("recovered leaving processes stored={}", durable));
         }
         List<RecoveryListener> told = List.copyOf(waiting);
--- a/node/src/main/java/org/anvillatch/node/membership/LeavingWitnesses.java
+++ b/node/src/main/java/org/anvillatch/node/membership/LeavingWitnesses.java
@@ -1,7 +1,6 @@
 package org.anvillatch.node.membership;
 
 import java.util.List;
-import java.util.function.Consumer;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
@@ -21,20 +20,13 @@
  * Tells other hosts which processes of this host's endpoint are leaving and asks them after a restart, and does the same
  * for other hosts.
  *
- * <p>Invariant: a process counts as witnessed only if {@link #MIN_CONFIRMATIONS} hosts have confirmed it, or one if no
- * more do in time. Not thread safe: all methods are called on the decision loop.
+ * <p>Not thread safe: all methods are called on the decision loop.
  */
 public final class LeavingWitnesses {
-    /** Confirmations after which a process counts as witnessed without waiting for the other hosts. */
-    static final int MIN_CONFIRMATIONS = 2;
-
     private static final Logger LOG = LoggerFactory.getLogger(LeavingWitnesses.class);
 
-    /**
-     * Maximum wait for the confirmation of a witness, in microseconds: endpoints wait about a second for the answer to a
-     * report.
-     */
-    private static final long RECORD_TIMEOUT_MICROS = 700_000;
+    /** Maximum wait for the confirmation of a witness, in microseconds. */
+    private static final long TELL_TIMEOUT_MICROS = 700_000;
 
     /**
      * Maximum wait for what a witness knows, in microseconds. Hosts are a few milliseconds apart; while the whole system
@@ -81,43 +73,36 @@
         void ended(int answers);
     }
 
-    /** Collects the answers of several hosts to one message. */
-    private abstract class Round implements PeerClient.AnswerListener {
-        private final int asked;
+    /** Counts the answers of several hosts to one message. */
+    private abstract static class Round implements PeerClient.AnswerListener {
+        private int missing;
         private int answered;
-        private int failed;
-        private boolean ended;
 
         Round(int asked) {
-            this.asked = asked;
+            this.missing = asked;
         }
 
         /** Handles an answer and returns whether it is one that was asked for. */
         abstract boolean accept(PeerMessage message);
 
-        abstract boolean isEnough(int answers);
-
         abstract void end(int answers);
 
         @Override
         public final void answered(PeerMessage message) {
             if (accept(message)) {
                 answered++;
-            } else {
-                failed++;
             }
-            check();
+            countDown();
         }
 
         @Override
         public final void failed(PeerClient.PeerFailure failure) {
-            failed++;
-            check();
+            countDown();
         }
 
-        private void check() {
-            if (!ended && (isEnough(answered) || answered + failed == asked)) {
-                ended = true;
+        private void countDown() {
+            missing--;
+            if (missing == 0) {
                 end(answered);
             }
         }
@@ -144,14 +129,9 @@
      * Tells witnesses which processes of this host's endpoint are leaving.
      *
      * @param processes identities of the processes, the latest last
-     * @param done receives whether witnesses have confirmed
      */
-    void tell(List<String> processes, Consumer<Boolean> done) {
+    void tell(List<String> processes) {
         List<Member> witnesses = choose(Witnesses.TOLD_PER_DOMAIN);
-        if (witnesses.isEmpty()) {
-            done.accept(false);
-            return;
-        }
         long sentMicros = loop.nowMicros();
         Round round = new Round(witnesses.size()) {
             @Override
@@ -159,11 +139,6 @@
                 return message instanceof ControlMessages.Acknowledge answer && answer.accepted();
             }
 
-            @Override
-            boolean isEnough(int answers) {
-                return answers >= MIN_CONFIRMATIONS;
-            }
-
             @Override
             void end(int answers) {
                 LOG.info(
@@ -172,11 +147,10 @@
                         witnesses.size(),
                         answers,
                         loop.nowMicros() - sentMicros);
-                done.accept(answers > 0);
             }
         };
         PeerMessage notice = new ControlMessages.LeavingNotice(hostName(), processes);
-        witnesses.forEach(witness -> peers.send(witness.address(), notice, RECORD_TIMEOUT_MICROS, round));
+        witnesses.forEach(witness -> peers.send(witness.address(), notice, TELL_TIMEOUT_MICROS, round));
     }
 
     /**
@@ -196,11 +170,6 @@
                 return false;
             }
 
-            @Override
-            boolean isEnough(int answers) {
-                return answers == witnesses.size();
-            }
-
             @Override
             void end(int answers) {
                 listener.ended(answers);
