--- a/node/src/main/java/org/anvillatch/node/membership/LeavingCommitments.java
+++ b/node/src/main/java/org/anvillatch/node/membership/LeavingCommitments.java
@@ -189,7 +189,16 @@
     private void learn(Collection<String> processes) {
         boolean changed = learned.addAll(processes);
         if (recovered && changed) {
-            processListener.accept(List.copyOf(learned));
+            announceLearned();
+        }
+    }
+
+    private void announceLearned() {
+        List<String> processes = List.copyOf(learned);
+        processListener.accept(processes);
+        if (!stored.containsAll(processes)) {
+            // The store has come back from a copy without them: without this, only the witnesses would know.
+            store.record(processes, durable -> LOG.info("recovered leaving processes stored={}", durable));
         }
     }
 
@@ -200,18 +209,13 @@
     }
 
     private void finishRecovery(LeavingRecovery.Basis basis) {
-        List<String> processes = List.copyOf(learned);
         LOG.info(
                 "endpoint recovered basis={} leaving={} afterMicros={}",
                 basis,
-                processes,
+                learned,
                 loop.nowMicros() - startMicros);
         recovered = true;
-        processListener.accept(processes);
-        if (!stored.containsAll(processes)) {
-            // The store has come back from a copy without them: without this, only the witnesses would know.
-            store.record(processes, durable -> LOG.info("recovered leaving processes stored={}", durable));
-        }
+        announceLearned();
         List<RecoveryListener> told = List.copyOf(waiting);
         waiting.clear();
         told.forEach(RecoveryListener::recovered);
