--- a/review/standin-2/Client.java
+++ b/review/standin-2/Client.java
@@ -29,9 +29,23 @@
     /** Sends a request and does not wait for its answer. */
     Future<Result> send(
             Deployment.Machine machine, String id, String method, String host, String path, int deadlineMillis, String body) {
+        String fields = body.isEmpty() ? "" : "Content-Length: " + body.length();
+        return sendWith(machine, id, method, host, path, deadlineMillis, fields, body);
+    }
+
+    /** Sends a request with header fields of its own, separated by line ends, and does not wait for its answer. */
+    Future<Result> sendWith(
+            Deployment.Machine machine,
+            String id,
+            String method,
+            String host,
+            String path,
+            int deadlineMillis,
+            String fields,
+            String body) {
         return threads.submit(() -> {
             long sentNanos = System.nanoTime();
-            Result result = exchange(machine, id, method, host, path, deadlineMillis, body, sentNanos);
+            Result result = exchange(machine, id, method, host, path, deadlineMillis, fields, body, sentNanos);
             deployment.note("client on " + machine.name + " gets " + (result.status() == 0 ? "no answer" : result.status())
                     + (result.signed() ? " signed" : "") + " for " + id + " " + method + " " + path);
             return result;
@@ -45,12 +59,13 @@
             String host,
             String path,
             int deadlineMillis,
+            String fields,
             String body,
             long sentNanos) {
         try (Deployment.Connection connection = new Deployment.Connection(machine.outbound())) {
             connection.send(method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\nAttempt-Id: " + id
                     + "\r\nDeadline-Ms: " + deadlineMillis
-                    + (body.isEmpty() ? "" : "\r\nContent-Length: " + body.length()) + "\r\n\r\n" + body);
+                    + (fields.isEmpty() ? "" : "\r\n" + fields) + "\r\n\r\n" + body);
             Deployment.Answer answer = connection.receive(deadlineMillis + 500);
             return answer == null
                     ? new Result(id, 0, false, sentNanos)
--- a/review/standin-2/Configuration.java
+++ b/review/standin-2/Configuration.java
@@ -5,6 +5,7 @@
 final class Configuration {
     private final List<String> routes = new ArrayList<>();
     private final List<String> services = new ArrayList<>();
+    private final List<String> tenants = new ArrayList<>();
 
     Configuration service(String name) {
         services.add("{\"name\":\"" + name
@@ -12,6 +13,12 @@
         return this;
     }
 
+    Configuration tenant(String name, String key) {
+        tenants.add("{\"name\":\"" + name + "\",\"api_keys\":[\"" + key
+                + "\"],\"priority\":1,\"rate_per_s\":456,\"burst\":456}");
+        return this;
+    }
+
     Configuration route(String name, String host, String prefix, String kind, int timeoutMillis, String service) {
         routes.add("{\"name\":\"" + name + "\",\"host\":\"" + host + "\",\"path_prefix\":\"" + prefix + "\",\"kind\":\""
                 + kind + "\",\"timeout\":\"" + timeoutMillis
@@ -24,6 +31,7 @@
         return "{\"version\":" + version + ",\"routes\":[" + String.join(",", routes) + "],\"services\":["
                 + String.join(",", services)
                 + "],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,\"header_timeout\":\"3000ms\","
-                + "\"idle_timeout\":\"15000ms\"}}";
+                + "\"idle_timeout\":\"15000ms\"}"
+                + (tenants.isEmpty() ? "" : ",\"tenants\":[" + String.join(",", tenants) + "]") + "}";
     }
 }
