Review stand-ins: end the nodes also if a script is ended early

Cause: a script that its time limit ended would have left its nodes running, and SIGTERM was sent with a program that a machine may lack.

Change: a shutdown hook ends the nodes; SIGTERM is sent by the JDK.

--- a/review/standin-2/Deployment.java
+++ b/review/standin-2/Deployment.java
@@ -8,11 +8,11 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -34,7 +34,7 @@
     private final long startNanos = System.nanoTime();
     private final String network;
     private final int port;
-    private final List<Machine> machines = new ArrayList<>();
+    private final List<Machine> machines = new CopyOnWriteArrayList<>();
 
     /** One machine: its addresses and the process of its node. */
     final class Machine {
@@ -80,9 +80,10 @@
             note("node " + name + " started");
         }
 
-        void signal(String signal) throws IOException, InterruptedException {
-            note("signal " + signal + " to node " + name);
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+        /** Sends SIGTERM. */
+        void terminate() {
+            note("SIGTERM to node " + name);
+            process.destroy();
         }
 
         void kill() throws InterruptedException {
@@ -126,6 +127,8 @@
         network = "127." + random.nextInt(10, 250) + "." + random.nextInt(1, 250) + ".";
         port = FIRST_PORT + random.nextInt(100) * 50;
         store = new Store(network + "200", port + 9, this);
+        // Also if the script is ended by its time limit.
+        Runtime.getRuntime().addShutdownHook(new Thread(this::killNodes));
     }
 
     Machine machine(String name, String zone, String service) {
@@ -176,13 +179,17 @@
         return Files.readString(folder.resolve(machine.name + ".log"));
     }
 
-    @Override
-    public void close() throws IOException {
+    private void killNodes() {
         for (Machine machine : machines) {
             if (machine.process != null) {
                 machine.process.destroyForcibly();
             }
         }
+    }
+
+    @Override
+    public void close() throws IOException {
+        killNodes();
         store.close();
         record.close();
         if (System.getenv("KEEP") == null) {
--- a/review/standin-2/LargeMessagesAtStopCase.java
+++ b/review/standin-2/LargeMessagesAtStopCase.java
@@ -77,7 +77,7 @@
                     client.send(sender, "pack-" + tick, "GET", HOST, "/pack/" + tick, 15_000, "");
                 }
                 if (tick == 40) {
-                    sender.signal("TERM");
+                    sender.terminate();
                     termNanos = System.nanoTime();
                 }
                 long nextNanos = startNanos + (tick + 1) * 100_000_000L;
