--- a/review/standin-2/Client.java
+++ b/review/standin-2/Client.java
@@ -44,6 +44,7 @@
             String fields,
             String body) {
         return threads.submit(() -> {
+            deployment.note("client on " + machine.name + " sends " + id + " " + method + " " + path);
             long sentNanos = System.nanoTime();
             Result result = exchange(machine, id, method, host, path, deadlineMillis, fields, body, sentNanos);
             deployment.note("client on " + machine.name + " gets " + (result.status() == 0 ? "no answer" : result.status())
--- a/review/standin-2/LargeMessagesAtStopCase.java
+++ b/review/standin-2/LargeMessagesAtStopCase.java
@@ -14,10 +14,10 @@
     private static final int WORK_MILLIS = 1_500;
     private static final int UPLOAD_BYTES = 34_000_000;
     private static final int UPLOADS = 2;
-    private static final int PACK_BYTES = 8_000_000;
-    private static final int PACK_TICKS = 6;
     private static final int LIST_BYTES = 30_000;
-    private static final int CHUNK_BYTES = 100_000;
+    private static final int UPLOAD_MILLIS = 8_500;
+    private static final int[] SMALLER_BYTES = {500_000, 120_000, 60_000, 20_000};
+    private static final int SMALLER_MILLIS = 3_000;
     private static final int CHUNK_MILLIS = 25;
     private static final long GRACE_NANOS = 6_000_000_000L;
 
@@ -43,7 +43,6 @@
                         .route("r-order", HOST, "/order/", "unsafe", 4_000, "redazione")
                         .route("r-import", HOST, "/import/", "unsafe", 20_000, "redazione")
                         .route("r-list", HOST, "/list/", "safe", 4_000, "redazione")
-                        .route("r-pack", HOST, "/pack/", "download", 20_000, "redazione")
                         .build(1));
         Deployment.Machine sender = deployment.machine("sidecar-pal-a-1", "pal-a", "catalogo");
         List<Deployment.Machine> machines = List.of(
@@ -65,7 +64,7 @@
             if (trouble) {
                 for (int index = 0; index < UPLOADS; index++) {
                     int number = index;
-                    clients.add(daemon(() -> upload(deployment, sender, number)));
+                    clients.add(daemon(() -> upload(deployment, sender, "import-" + number, UPLOAD_BYTES, UPLOAD_MILLIS)));
                 }
             }
             long termNanos = 0;
@@ -73,8 +72,11 @@
                 int number = tick;
                 clients.add(daemon(() -> order(deployment, sender, number, orders)));
                 client.send(sender, "list-" + tick, "GET", HOST, "/list/" + tick, 3_000, "");
-                if (trouble && tick % PACK_TICKS == 0) {
-                    client.send(sender, "pack-" + tick, "GET", HOST, "/pack/" + tick, 15_000, "");
+                if (trouble) {
+                    for (int size : SMALLER_BYTES) {
+                        String id = "import-" + tick + "-" + size;
+                        clients.add(daemon(() -> upload(deployment, sender, id, size, SMALLER_MILLIS)));
+                    }
                 }
                 if (tick == 40) {
                     sender.terminate();
@@ -103,32 +105,35 @@
             Thread.sleep(WORK_MILLIS);
         } else if (request.line.contains("/list/")) {
             length = LIST_BYTES;
-        } else if (request.line.contains("/pack/")) {
-            length = PACK_BYTES;
         }
         Worker.answer(request, output, 200, new byte[length]);
         return true;
     }
 
-    private void upload(Deployment deployment, Deployment.Machine sender, int number) {
+    /** Sends a body at a steady pace; ends early if the node has answered or closed the connection. */
+    private void upload(Deployment deployment, Deployment.Machine sender, String id, int bytes, int millis) {
+        deployment.note("client sends " + id + " POST /import/ with " + bytes + " bytes in " + millis + " ms");
         try (Deployment.Connection connection = new Deployment.Connection(sender.outbound())) {
-            connection.send("POST /import/" + number + " HTTP/1.1\r\nHost: " + HOST + "\r\nAttempt-Id: import-" + number
-                    + "\r\nDeadline-Ms: 20000\r\nContent-Length: " + UPLOAD_BYTES + "\r\n\r\n");
-            byte[] chunk = new byte[CHUNK_BYTES];
-            for (int sent = 0; sent < UPLOAD_BYTES && !ended; sent += chunk.length) {
-                connection.socket.getOutputStream().write(chunk);
+            connection.send("POST /import/" + id + " HTTP/1.1\r\nHost: " + HOST + "\r\nAttempt-Id: " + id
+                    + "\r\nDeadline-Ms: 20000\r\nContent-Length: " + bytes + "\r\n\r\n");
+            int chunks = millis / CHUNK_MILLIS;
+            int sent = 0;
+            for (int chunk = 1; chunk <= chunks && !ended && connection.socket.getInputStream().available() == 0; chunk++) {
+                int next = (int) ((long) bytes * chunk / chunks);
+                connection.socket.getOutputStream().write(new byte[next - sent]);
+                sent = next;
                 Thread.sleep(CHUNK_MILLIS);
             }
-            deployment.note("import-" + number + " sent");
             Deployment.Answer answer = connection.receive(10_000);
-            deployment.note("client gets " + (answer == null ? "no answer" : answer.status) + " for import-" + number);
+            deployment.note("client gets " + (answer == null ? "no answer" : answer.status) + " for " + id);
         } catch (IOException | InterruptedException failure) {
-            deployment.note("import-" + number + " ended: " + failure.getMessage());
+            deployment.note("client's connection for " + id + " ended: " + failure.getMessage());
         }
     }
 
     private void order(Deployment deployment, Deployment.Machine sender, int number, List<Order> orders) {
         String id = "order-" + number;
+        deployment.note("client sends " + id + " POST /order/" + number);
         Deployment.Answer answer = null;
         try (Deployment.Connection connection = new Deployment.Connection(sender.outbound())) {
             connection.send("POST /order/" + number + " HTTP/1.1\r\nHost: " + HOST + "\r\nAttempt-Id: " + id
--- a/review/standin-2/OrphanedCallsCase.java
+++ b/review/standin-2/OrphanedCallsCase.java
@@ -98,6 +98,7 @@
         requests.incrementAndGet();
         int status = 0;
         String call = request.id() + ".1";
+        deployment.note("server i-ordering sends its call " + call + " GET /title/" + request.id());
         try (Deployment.Connection connection = new Deployment.Connection(orderingMachine.outbound())) {
             connection.send("GET /title/" + request.id() + " HTTP/1.1\r\nHost: " + CATALOGUE + "\r\nAttempt-Id: " + call
                     + "\r\nDeadline-Ms: 2000\r\n\r\n");
