Report the end of the input after a failed write as an error

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written.

Cause: the kernel reports a reset to one system call only. If the write of the request got it, the next read returned the end of the stream, which completes a response without a length; ResetAwareEndPoint looked at the read alone.

Change: ResetAwareEndPoint keeps the failure of a write and reports it in place of the end of the input. A read that finds the end waits for a write in progress, so that the failure of every earlier write is known. KeepAliveConnector is not final any more, and EndpointClient takes a connector, so that tests can hold the reads of a connection.

Why it works: only a failed write or a failed read can take the pending error of a socket.

The test of the own interface passes on the code before too: Jetty's client waits for the end of the request. The tests of connections to endpoints and PlatformNodeTest pass.

--- a/node/src/main/java/org/anvillatch/node/HttpClients.java
+++ b/node/src/main/java/org/anvillatch/node/HttpClients.java
@@ -26,7 +26,20 @@
      * @return the client, with one selector
      */
     public static HttpClient create(Executor executor, Scheduler scheduler, long connectTimeoutMillis) {
-        KeepAliveConnector connector = new KeepAliveConnector();
+        return create(new KeepAliveConnector(), executor, scheduler, connectTimeoutMillis);
+    }
+
+    /**
+     * Creates a client without starting it.
+     *
+     * @param connector opens the connections; the client starts and stops it
+     * @param executor runs the callbacks
+     * @param scheduler runs the timeouts
+     * @param connectTimeoutMillis maximum wait for a connection, in milliseconds
+     * @return the client, with one selector
+     */
+    public static HttpClient create(
+            KeepAliveConnector connector, Executor executor, Scheduler scheduler, long connectTimeoutMillis) {
         connector.setSelectors(1);
         connector.setExecutor(executor);
         connector.setScheduler(scheduler);
--- a/node/src/main/java/org/anvillatch/node/KeepAliveConnector.java
+++ b/node/src/main/java/org/anvillatch/node/KeepAliveConnector.java
@@ -25,7 +25,7 @@
  * Opens connections with TCP keepalive, so that a connection whose other side no longer answers is detected within
  * seconds. A reset of such a connection is reported as an error, see {@link ResetAwareEndPoint}. Thread safe.
  */
-public final class KeepAliveConnector extends ClientConnector {
+public class KeepAliveConnector extends ClientConnector {
     /** Idle time before the first probe and time between probes, in seconds: the minimum that the kernel accepts. */
     private static final int PROBE_PERIOD_SECONDS = 1;
 
--- a/node/src/main/java/org/anvillatch/node/ResetAwareEndPoint.java
+++ b/node/src/main/java/org/anvillatch/node/ResetAwareEndPoint.java
@@ -15,13 +15,20 @@
  * a reset as the regular end of the stream, so a response without a length that is truncated by a reset would seem
  * complete.
  *
- * <p>Invariant: after a read that did not fill its buffer, the socket is not read again until the selector has found it
+ * <p>Invariants: a read reports the end of the stream only if the other side has closed its output and no write has failed
+ * before; after a read that did not fill its buffer, the socket is not read again until the selector has found it
  * readable. Readiness is level-triggered, so a read that is skipped although data has arrived costs one more selection
  * and loses nothing. Thread safe.
  */
 public class ResetAwareEndPoint extends SocketChannelEndPoint {
     private volatile boolean socketEmpty;
 
+    /** Held during a write, so that a read which follows the end of a write also finds its failure. */
+    private final Object writeLock = new Object();
+
+    /** Failure of a write, or null; guarded by {@link #writeLock}. */
+    private IOException writeFailure;
+
     /**
      * Creates the end point of an open socket.
      *
@@ -40,10 +47,22 @@
         return super.onSelected();
     }
 
+    @Override
+    public boolean flush(ByteBuffer... buffers) throws IOException {
+        synchronized (writeLock) {
+            try {
+                return super.flush(buffers);
+            } catch (IOException failure) {
+                writeFailure = failure;
+                throw failure;
+            }
+        }
+    }
+
     @Override
     public int fill(ByteBuffer buffer) throws IOException {
         if (isInputShutdown()) {
-            return -1;
+            return reportEnd();
         }
         if (socketEmpty) {
             return 0;
@@ -57,10 +76,25 @@
                 notIdle();
             } else if (filled < 0) {
                 shutdownInput();
+                return reportEnd();
             }
             return filled;
         } finally {
             BufferUtil.flipToFlush(buffer, position);
         }
     }
+
+    /**
+     * Returns -1 for the end of the stream, or reports the failed write: the operating system reports a reset only once, and
+     * a read after a write that got it finds what looks like an orderly close.
+     */
+    private int reportEnd() throws IOException {
+        synchronized (writeLock) {
+            if (writeFailure != null) {
+                throw new IOException(
+                        "the connection failed during a write: " + writeFailure.getMessage(), writeFailure);
+            }
+        }
+        return -1;
+    }
 }
--- a/node/src/main/java/org/anvillatch/node/endpoint/EndpointClient.java
+++ b/node/src/main/java/org/anvillatch/node/endpoint/EndpointClient.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.anvillatch.node.HttpClients;
+import org.anvillatch.node.KeepAliveConnector;
 import org.anvillatch.node.StartException;
 import org.anvillatch.node.call.CallBody;
 import org.anvillatch.node.call.DispatchMessage;
@@ -42,7 +43,12 @@
      * @param scheduler scheduler for timeouts
      */
     public EndpointClient(Executor executor, Scheduler scheduler) {
-        client = HttpClients.create(executor, scheduler, CONNECT_TIMEOUT_MILLIS);
+        this(new KeepAliveConnector(), executor, scheduler);
+    }
+
+    /** Creates the client with a connector, which the client starts and stops. */
+    EndpointClient(KeepAliveConnector connector, Executor executor, Scheduler scheduler) {
+        client = HttpClients.create(connector, executor, scheduler, CONNECT_TIMEOUT_MILLIS);
         client.setFollowRedirects(false);
         client.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
         client.setUserAgentField(null);
