Limit the heads of responses that Jetty's client reads

What callers saw: reported by operators of similar systems, shown here by a test: an endpoint that sends a head without end fills the memory of the process that called it, with all requests on that host.

Cause: Jetty's client has no limit on a response's head by default and HttpClients set none. Fields, a field's name or value, the reason phrase, trailers, and bytes after a complete response were kept until the deadline or longer. Clients of the endpoint (own interface), the log service, the store and the operators' command were concerned.

Change: a limit of 32 KiB, as the platform's client of its endpoint has it.

Why it works: the parser counts every byte of heads and trailers, whichever line they are in.

--- a/node/src/main/java/org/anvillatch/node/HttpClients.java
+++ b/node/src/main/java/org/anvillatch/node/HttpClients.java
@@ -15,6 +15,9 @@
 public final class HttpClients {
     private static final Logger LOG = LoggerFactory.getLogger(HttpClients.class);
 
+    /** Maximum size of a response's head or of its trailers, in bytes; Jetty's client has no limit by default. */
+    private static final int MAX_RESPONSE_HEAD_BYTES = 32 * 1024;
+
     private HttpClients() {}
 
     /**
@@ -50,6 +53,7 @@
         client.setExecutor(executor);
         client.setScheduler(scheduler);
         client.setConnectTimeout(connectTimeoutMillis);
+        client.setMaxResponseHeadersSize(MAX_RESPONSE_HEAD_BYTES);
         return client;
     }
 
--- /dev/null
+++ b/node/src/test/java/org/anvillatch/node/endpoint/BrokenResponseTest.java
@@ -0,0 +1,128 @@
+package org.anvillatch.node.endpoint;
+
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.anvillatch.decision.model.OperationName;
+import org.anvillatch.decision.rejection.CallProgress;
+import org.anvillatch.node.NodeThreads;
+import org.anvillatch.node.RawHttpServer;
+import org.anvillatch.node.call.CallBody;
+import org.anvillatch.node.call.CallContext;
+import org.anvillatch.node.call.DispatchMessage;
+import org.anvillatch.node.endpoint.EndpointTransport.EndpointAnswer;
+import org.anvillatch.node.endpoint.EndpointTransport.ExchangeResult;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Tests the client against endpoints whose responses are not valid HTTP, or do not end. */
+class BrokenResponseTest {
+    private static final long MAX_WAIT_SECONDS = 20;
+    private static final long REMAINING_MICROS = 15_000_000;
+    private static final String EXECUTION = "desk-1~7~1";
+    private static final String IDENTITY = "Anvillatch-Context: " + EXECUTION + "\r\n";
+    private static final String HEAD = "HTTP/1.1 200 OK\r\n" + IDENTITY;
+
+    /** Bytes after which a part that should be refused ends, so that a client that keeps them can be told. */
+    private static final long LONG_PART_BYTES = 64 * 1024 * 1024;
+
+    private final NodeThreads threads = new NodeThreads();
+    private final EndpointClient client = new EndpointClient(threads.pool(), threads.scheduler());
+    private RawHttpServer server;
+
+    /** Parts of a response that have no declared length. */
+    private enum LongPart {
+        FIELDS(HEAD, "X-More: and more of it\r\n", "Content-Length: 0\r\n\r\n"),
+        FIELD_NAME(HEAD, "x", ": v\r\nContent-Length: 0\r\n\r\n"),
+        FIELD_VALUE(HEAD + "X-More: ", "x", "\r\nContent-Length: 0\r\n\r\n"),
+        REASON("HTTP/1.1 200 ", "x", "\r\n" + IDENTITY + "Content-Length: 0\r\n\r\n"),
+        TRAILERS(HEAD + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: and more of it\r\n", "\r\n"),
+        TRAILER_VALUE(HEAD + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-More: ", "x", "\r\n\r\n"),
+        BODY(HEAD + "\r\n", "x", ""),
+        CHUNKS(HEAD + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", "0\r\n\r\n");
+
+        private final String start;
+        private final String repeated;
+        private final String end;
+
+        LongPart(String start, String repeated, String end) {
+            this.start = start;
+            this.repeated = repeated;
+            this.end = end;
+        }
+    }
+
+    @BeforeEach
+    void start() throws Exception {
+        threads.start();
+        client.start();
+        server = new RawHttpServer();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        client.stop();
+        threads.stop();
+        server.close();
+    }
+
+    private CompletableFuture<EndpointAnswer> send(long remainingMicros) {
+        DispatchMessage message = new DispatchMessage(
+                new CallContext("r", 0, "r", 0, false, ""),
+                new OperationName("desk", "write"),
+                false,
+                new CallBody("", new byte[0]),
+                "",
+                5_000_000,
+                0,
+                null,
+                null,
+                CallProgress.NONE);
+        CompletableFuture<EndpointAnswer> answer = new CompletableFuture<>();
+        EndpointAnnouncement endpoint = new EndpointAnnouncement("desk", server.address(), 1, 1, "i");
+        client.send(endpoint, EXECUTION, message, remainingMicros, answer::complete);
+        return answer;
+    }
+
+    private RawHttpServer.Connection acceptRequest() throws IOException {
+        RawHttpServer.Connection connection = server.accept();
+        connection.readHead();
+        return connection;
+    }
+
+    private static ExchangeResult result(CompletableFuture<EndpointAnswer> answer) throws Exception {
+        return answer.get(MAX_WAIT_SECONDS, TimeUnit.SECONDS).result();
+    }
+
+    /** Guards against a process that keeps all that a faulty endpoint sends, and runs out of memory. */
+    @ParameterizedTest
+    @EnumSource
+    void responseWithALongPartIsRefused(LongPart part) throws Exception {
+        CompletableFuture<EndpointAnswer> answer = send(REMAINING_MICROS);
+        try (RawHttpServer.Connection connection = acceptRequest()) {
+            connection.write(part.start);
+            if (!connection.writeUntilClosed(part.repeated, LONG_PART_BYTES)) {
+                connection.write(part.end);
+                connection.endOutput();
+            }
+            assertThat(result(answer)).isEqualTo(ExchangeResult.BROKEN);
+        }
+    }
+
+    /** Guards against the same with bytes that follow a complete response. */
+    @Test
+    void bytesAfterAResponseCloseItsConnection() throws Exception {
+        CompletableFuture<EndpointAnswer> answer = send(REMAINING_MICROS);
+        try (RawHttpServer.Connection connection = acceptRequest()) {
+            connection.write(HEAD + "Content-Length: 0\r\n\r\n");
+            assertThat(result(answer)).isEqualTo(ExchangeResult.ANSWERED);
+            assertThat(connection.writeUntilClosed("x", LONG_PART_BYTES)).isTrue();
+        }
+    }
+}
--- a/operator/src/main/java/org/anvillatch/operator/NodeClient.java
+++ b/operator/src/main/java/org/anvillatch/operator/NodeClient.java
@@ -19,6 +19,10 @@
  */
 final class NodeClient implements AutoCloseable {
     private static final long TIMEOUT_SECONDS = 15;
+
+    /** Maximum size of a response's head or of its trailers, in bytes; Jetty's client has no limit by default. */
+    private static final int MAX_RESPONSE_HEAD_BYTES = 32 * 1024;
+
     private static final ObjectMapper MAPPER =
             new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
@@ -31,6 +35,7 @@
         this.address = address;
         this.key = key;
         this.author = author;
+        client.setMaxResponseHeadersSize(MAX_RESPONSE_HEAD_BYTES);
         try {
             client.start();
         } catch (Exception failure) {
