--- a/node/src/main/java/org/anvillatch/node/HttpClients.java
+++ b/node/src/main/java/org/anvillatch/node/HttpClients.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.Executor;
 
+import org.eclipse.jetty.client.ContinueProtocolHandler;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportDynamic;
 import org.eclipse.jetty.util.thread.Invocable;
@@ -68,6 +69,8 @@
         try {
             client.start();
             client.getContentDecoderFactories().clear();
+            client.getProtocolHandlers().remove(ContinueProtocolHandler.NAME);
+            client.getProtocolHandlers().put(new InterimResponseHandler());
         } catch (Exception failure) {
             throw new StartException(name + ": " + failure.getMessage(), failure);
         }
--- a/node/src/test/java/org/anvillatch/node/endpoint/BrokenResponseTest.java
+++ b/node/src/test/java/org/anvillatch/node/endpoint/BrokenResponseTest.java
@@ -1,6 +1,7 @@
 package org.anvillatch.node.endpoint;
 
 import java.io.IOException;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -20,11 +21,14 @@
 import org.junit.jupiter.params.provider.EnumSource;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 /** Tests the client against endpoints whose responses are not valid HTTP, or do not end. */
 class BrokenResponseTest {
     private static final long MAX_WAIT_SECONDS = 20;
     private static final long REMAINING_MICROS = 15_000_000;
+    private static final long SHORT_REMAINING_MICROS = 200_000;
+    private static final int INTERIM_LENGTH = interim(100).length();
     private static final String EXECUTION = "desk-1~7~1";
     private static final String IDENTITY = "Anvillatch-Context: " + EXECUTION + "\r\n";
     private static final String HEAD = "HTTP/1.1 200 OK\r\n" + IDENTITY;
@@ -100,6 +104,45 @@
         return answer.get(MAX_WAIT_SECONDS, TimeUnit.SECONDS).result();
     }
 
+    private static String interim(int status) {
+        return "HTTP/1.1 " + status + " Interim\r\n\r\n";
+    }
+
+    /** Guards against a request that never completes and occupies a slot of its endpoint for good. */
+    @Test
+    void interimResponsesAreSkipped() throws Exception {
+        List<String> interimResponses = List.of(
+                interim(100),
+                interim(100).repeat(2),
+                interim(100).repeat(10_000),
+                interim(102).repeat(10_000),
+                interim(103).repeat(10_000),
+                interim(104),
+                interim(199).repeat(2),
+                interim(100) + interim(104) + interim(100));
+        for (String text : interimResponses) {
+            CompletableFuture<EndpointAnswer> answer = send(REMAINING_MICROS);
+            try (RawHttpServer.Connection connection = acceptRequest()) {
+                connection.write(text + HEAD + "Connection: close\r\nContent-Length: 0\r\n\r\n");
+                assertWithMessage(text.substring(0, INTERIM_LENGTH))
+                        .that(result(answer))
+                        .isEqualTo(ExchangeResult.ANSWERED);
+            }
+        }
+    }
+
+    /** Guards against the same with interim responses without end. */
+    @Test
+    void endlessInterimResponsesEndAtTheDeadline() throws Exception {
+        CompletableFuture<EndpointAnswer> answer = send(SHORT_REMAINING_MICROS);
+        try (RawHttpServer.Connection connection = acceptRequest()) {
+            CompletableFuture<Boolean> closed =
+                    CompletableFuture.supplyAsync(() -> connection.writeUntilClosed(interim(100), Long.MAX_VALUE));
+            assertThat(result(answer)).isEqualTo(ExchangeResult.TIMED_OUT);
+            assertThat(closed.get(MAX_WAIT_SECONDS, TimeUnit.SECONDS)).isTrue();
+        }
+    }
+
     /** Guards against a process that keeps all that a faulty endpoint sends, and runs out of memory. */
     @ParameterizedTest
     @EnumSource
