--- a/node/src/main/java/org/anvillatch/node/HttpClients.java
+++ b/node/src/main/java/org/anvillatch/node/HttpClients.java
@@ -3,7 +3,9 @@
 import java.util.concurrent.Executor;
 
 import org.eclipse.jetty.client.ContinueProtocolHandler;
+import org.eclipse.jetty.client.EarlyHintsProtocolHandler;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.ProcessingProtocolHandler;
 import org.eclipse.jetty.client.transport.HttpClientTransportDynamic;
 import org.eclipse.jetty.util.thread.Invocable;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -70,6 +72,8 @@
             client.start();
             client.getContentDecoderFactories().clear();
             client.getProtocolHandlers().remove(ContinueProtocolHandler.NAME);
+            client.getProtocolHandlers().remove(ProcessingProtocolHandler.NAME);
+            client.getProtocolHandlers().remove(EarlyHintsProtocolHandler.NAME);
             client.getProtocolHandlers().put(new InterimResponseHandler());
         } catch (Exception failure) {
             throw new StartException(name + ": " + failure.getMessage(), failure);
