Refuse responses with a status that HTTP does not define

What callers saw: the report is of status 000, which was refused before. Statuses from 600 to 999 were delivered on both interfaces, 101 on the own interface; on the platform a response after a 101 was delivered.

Cause: the parser accepts any three digits from 100 on and nothing else checked the status; all statuses below 200 counted as interim on the platform.

Why it works: each response passes through one of the two checks before any of its content is kept.

--- a/node/src/main/java/org/anvillatch/node/endpoint/EndpointClient.java
+++ b/node/src/main/java/org/anvillatch/node/endpoint/EndpointClient.java
@@ -108,6 +108,9 @@
         private final String executionName;
         private final AnswerListener listener;
 
+        /** Why the response was aborted when its head was read, or null. */
+        private volatile String problem;
+
         private ResponseListener(String executionName, AnswerListener listener) {
             super(MAX_RESPONSE_BYTES);
             this.executionName = executionName;
@@ -117,19 +120,34 @@
         @Override
         public void onHeaders(Response response) {
             super.onHeaders(response);
-            if (isMismatched(response)) {
-                response.abort(new IllegalStateException("response names another execution"));
+            String found = findProblem(response);
+            problem = found;
+            if (found != null) {
+                response.abort(new IllegalStateException(found));
             }
         }
 
-        private boolean isMismatched(Response response) {
+        /** Returns why the response must not be forwarded, or null. */
+        private String findProblem(Response response) {
             String responseExecution = response.getHeaders().get(CallHeaders.CONTEXT);
-            return responseExecution != null && !responseExecution.equals(executionName);
+            if (responseExecution != null && !responseExecution.equals(executionName)) {
+                return "response names another execution";
+            }
+            return ResponseHeads.findProblem(response.getStatus(), response.getHeaders());
         }
 
         @Override
         public void onComplete(Result result) {
-            listener.completed(result.isSucceeded() ? toAnswer(result) : toFailure(result));
+            if (result.isFailed()) {
+                listener.completed(toFailure(result.getFailure()));
+                return;
+            }
+            // The head of a response with status 101 is not reported before.
+            String found = findProblem(result.getResponse());
+            listener.completed(
+                    found == null
+                            ? toAnswer(result)
+                            : EndpointAnswer.withoutResponse(ExchangeResult.MISMATCHED, found));
         }
 
         private EndpointAnswer toAnswer(Result result) {
@@ -147,10 +165,9 @@
                     rejected ? ExchangeResult.REJECTED : ExchangeResult.ANSWERED, status, List.of(), body, "", null);
         }
 
-        private EndpointAnswer toFailure(Result result) {
-            Throwable cause = result.getFailure();
-            boolean mismatched = result.getResponse() != null && isMismatched(result.getResponse());
-            ExchangeResult exchangeResult = mismatched ? ExchangeResult.MISMATCHED : EndpointFailures.classify(cause);
+        private EndpointAnswer toFailure(Throwable cause) {
+            ExchangeResult exchangeResult =
+                    problem == null ? EndpointFailures.classify(cause) : ExchangeResult.MISMATCHED;
             return EndpointAnswer.withoutResponse(exchangeResult, String.valueOf(cause.getMessage()));
         }
     }
--- a/node/src/test/java/org/anvillatch/node/endpoint/BrokenResponseTest.java
+++ b/node/src/test/java/org/anvillatch/node/endpoint/BrokenResponseTest.java
@@ -105,6 +105,18 @@
         return answer.get(MAX_WAIT_SECONDS, TimeUnit.SECONDS).result();
     }
 
+    /** Guards against a response that HTTP does not define and that reaches a caller as an answer. */
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "001", "099", "101", "600", "999", "20", "2000", "abc", "-20"})
+    void responseWithInvalidStatusIsRefused(String status) throws Exception {
+        CompletableFuture<EndpointAnswer> answer = send(REMAINING_MICROS);
+        try (RawHttpServer.Connection connection = acceptRequest()) {
+            connection.write("HTTP/1.1 " + status + " Trouble\r\n" + IDENTITY + "Content-Length: 3\r\n\r\none");
+            assertThat(result(answer)).isAnyOf(ExchangeResult.BROKEN, ExchangeResult.MISMATCHED);
+            assertThat(connection.isClosedByClient()).isTrue();
+        }
+    }
+
     private static String interim(int status) {
         return "HTTP/1.1 " + status + " Interim\r\n\r\n";
     }
