--- a/node/src/test/java/org/anvillatch/node/endpoint/BrokenResponseTest.java
+++ b/node/src/test/java/org/anvillatch/node/endpoint/BrokenResponseTest.java
@@ -33,6 +33,7 @@
     private static final String EXECUTION = "desk-1~7~1";
     private static final String IDENTITY = "Anvillatch-Context: " + EXECUTION + "\r\n";
     private static final String HEAD = "HTTP/1.1 200 OK\r\n" + IDENTITY;
+    private static final String BODY = "Content-Length: 3\r\n\r\none";
 
     /** Bytes after which a part that should be refused ends, so that a client that keeps them can be told. */
     private static final long LONG_PART_BYTES = 64 * 1024 * 1024;
@@ -105,18 +106,66 @@
         return answer.get(MAX_WAIT_SECONDS, TimeUnit.SECONDS).result();
     }
 
-    /** Guards against a response that HTTP does not define and that reaches a caller as an answer. */
-    @ParameterizedTest
-    @ValueSource(strings = {"000", "001", "099", "101", "600", "999", "20", "2000", "abc", "-20"})
-    void responseWithInvalidStatusIsRefused(String status) throws Exception {
+    /** Answers a request with the response, checks that the client closes the connection, and returns the result. */
+    private ExchangeResult resultOf(String response) throws Exception {
         CompletableFuture<EndpointAnswer> answer = send(REMAINING_MICROS);
         try (RawHttpServer.Connection connection = acceptRequest()) {
-            connection.write("HTTP/1.1 " + status + " Trouble\r\n" + IDENTITY + "Content-Length: 3\r\n\r\none");
-            assertThat(result(answer)).isAnyOf(ExchangeResult.BROKEN, ExchangeResult.MISMATCHED);
+            connection.write(response);
+            ExchangeResult result = result(answer);
             assertThat(connection.isClosedByClient()).isTrue();
+            return result;
         }
     }
 
+    /** Guards against a response that HTTP does not define and that reaches a caller as an answer. */
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "001", "099", "101", "600", "999", "20", "2000", "abc", "-20"})
+    void responseWithInvalidStatusIsRefused(String status) throws Exception {
+        String response = "HTTP/1.1 " + status + " Trouble\r\n" + IDENTITY + BODY;
+        assertThat(resultOf(response)).isAnyOf(ExchangeResult.BROKEN, ExchangeResult.MISMATCHED);
+    }
+
+    /** Guards against a line that is forwarded, or that hides the length of the body. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "X More: v",
+                "X-More : v",
+                "X-More\t: v",
+                "X\u0001More: v",
+                "X\0More: v",
+                "X\u007fMore: v",
+                "X\u00e9More: v",
+                "X\rMore: v",
+                "X(More): v",
+                ": v",
+                " X-More: v",
+                "no colon",
+                "X-More: v\r\n folded",
+                "X-More: v\rw",
+                "X-More: v\0w",
+                "X-More: v\u0001w",
+                "Content-Length : 1",
+                "Transfer-Encoding : chunked",
+                "Content-Length: 1",
+                "Transfer-Encoding: chunked"
+            })
+    void responseWithMalformedLineIsRefused(String line) throws Exception {
+        assertThat(resultOf(HEAD + line + "\r\n" + BODY)).isEqualTo(ExchangeResult.BROKEN);
+    }
+
+    /** Guards against a body that is delivered in an encoding that the caller is not told. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Transfer-Encoding: gzip, chunked\r\n\r\n3\r\none\r\n0\r\n\r\n",
+                "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n",
+                "Content-Encoding: gzip\r\nContent-Length: 3\r\n\r\none"
+            })
+    void encodedResponseIsRefused(String rest) throws Exception {
+        assertThat(resultOf(HEAD + rest)).isEqualTo(ExchangeResult.MISMATCHED);
+    }
+
     private static String interim(int status) {
         return "HTTP/1.1 " + status + " Interim\r\n\r\n";
     }
