Account for the responses of endpoints on the own interface

What callers saw: reported by operators of similar systems, shown here by a trial: many bodies without end at the same time exhaust the memory of a process.

Cause: EndpointClient buffered each response outside the account of the process's memory, up to 2 MiB each and without a bound on their sum.

Change: AccountedContent reserves content before it is kept and refuses what does not fit, beyond a first segment that is always accepted. HttpResponses releases the memory of a large body when it has been written.

--- a/node/src/main/java/org/anvillatch/node/Node.java
+++ b/node/src/main/java/org/anvillatch/node/Node.java
@@ -107,7 +107,7 @@
         CallDecisionRecorder decisions = new CallDecisionRecorder(log, settings.name());
         PeerClient peers =
                 new PeerClient(loop, threads, scheduler, settings.peerAddress().host(), budget, metrics);
-        EndpointClient endpointClient = new EndpointClient(threads, scheduler);
+        EndpointClient endpointClient = new EndpointClient(threads, scheduler, budget);
         HttpPlatformLog platform = new HttpPlatformLog(settings.logAddress(), threads, scheduler);
         gatekeeperService =
                 new GatekeeperService(loop, state, endpointClient, decisions, metrics, CrashSignal.CONNECTION_LOST);
--- a/node/src/main/java/org/anvillatch/node/caller/HttpResponses.java
+++ b/node/src/main/java/org/anvillatch/node/caller/HttpResponses.java
@@ -154,7 +154,7 @@
             response.getHeaders().put(HttpHeader.CONTENT_TYPE, answer.body().contentType());
         }
         response.getHeaders().put(HttpHeader.CONTENT_LENGTH, answer.body().length());
-        BodyWriter.write(response, answer.body(), callback);
+        BodyWriter.write(response, answer.body(), Callback.from(callback, answer.body()::release));
     }
 
     private static int statusOf(CallAnswer answer) {
--- a/node/src/main/java/org/anvillatch/node/endpoint/EndpointClient.java
+++ b/node/src/main/java/org/anvillatch/node/endpoint/EndpointClient.java
@@ -1,5 +1,7 @@
 package org.anvillatch.node.endpoint;
 
+import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
@@ -9,7 +11,7 @@
 import org.anvillatch.node.StartException;
 import org.anvillatch.node.call.CallBody;
 import org.anvillatch.node.call.DispatchMessage;
-import org.eclipse.jetty.client.BufferingResponseListener;
+import org.anvillatch.node.memory.MemoryBudget;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
@@ -35,19 +37,22 @@
     private static final int SERVICE_UNAVAILABLE = 503;
 
     private final HttpClient client;
+    private final MemoryBudget budget;
 
     /**
      * Creates the client.
      *
      * @param executor executor for callbacks
      * @param scheduler scheduler for timeouts
+     * @param budget account of the responses
      */
-    public EndpointClient(Executor executor, Scheduler scheduler) {
-        this(new KeepAliveConnector(), executor, scheduler);
+    public EndpointClient(Executor executor, Scheduler scheduler, MemoryBudget budget) {
+        this(new KeepAliveConnector(), executor, scheduler, budget);
     }
 
     /** Creates the client with a connector, which the client starts and stops. */
-    EndpointClient(KeepAliveConnector connector, Executor executor, Scheduler scheduler) {
+    EndpointClient(KeepAliveConnector connector, Executor executor, Scheduler scheduler, MemoryBudget budget) {
+        this.budget = budget;
         client = HttpClients.create(connector, executor, scheduler, CONNECT_TIMEOUT_MILLIS);
         client.setFollowRedirects(false);
         client.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
@@ -100,26 +105,26 @@
                 headers.put(CallHeaders.TRACEPARENT, message.context().traceparent());
             }
         });
-        request.send(new ResponseListener(executionName, listener));
+        request.send(new ResponseListener(executionName, listener, new AccountedContent(budget, MAX_RESPONSE_BYTES)));
         return () -> request.abort(new EndpointFailures.AbortedException());
     }
 
-    private static final class ResponseListener extends BufferingResponseListener {
+    private static final class ResponseListener implements Response.Listener {
         private final String executionName;
         private final AnswerListener listener;
+        private final AccountedContent content;
 
         /** Why the response was aborted when its head was read, or null. */
         private volatile String problem;
 
-        private ResponseListener(String executionName, AnswerListener listener) {
-            super(MAX_RESPONSE_BYTES);
+        private ResponseListener(String executionName, AnswerListener listener, AccountedContent content) {
             this.executionName = executionName;
             this.listener = listener;
+            this.content = content;
         }
 
         @Override
         public void onHeaders(Response response) {
-            super.onHeaders(response);
             String found = findProblem(response);
             problem = found;
             if (found != null) {
@@ -127,6 +132,14 @@
             }
         }
 
+        @Override
+        public void onContent(Response response, ByteBuffer bytes) {
+            String refusal = content.add(bytes);
+            if (refusal != null) {
+                response.abort(new IOException(refusal));
+            }
+        }
+
         /** Returns why the response must not be forwarded, or null. */
         private String findProblem(Response response) {
             String responseExecution = response.getHeaders().get(CallHeaders.CONTEXT);
@@ -138,16 +151,17 @@
 
         @Override
         public void onComplete(Result result) {
-            if (result.isFailed()) {
-                listener.completed(toFailure(result.getFailure()));
-                return;
+            EndpointAnswer answer = result.isFailed() ? toFailure(result.getFailure()) : decode(result);
+            if (answer.result() != ExchangeResult.ANSWERED) {
+                content.discard();
             }
-            // The head of a response with status 101 is not reported before.
+            listener.completed(answer);
+        }
+
+        private EndpointAnswer decode(Result result) {
+            // The head of a response with status 101 has not been reported before.
             String found = findProblem(result.getResponse());
-            listener.completed(
-                    found == null
-                            ? toAnswer(result)
-                            : EndpointAnswer.withoutResponse(ExchangeResult.MISMATCHED, found));
+            return found == null ? toAnswer(result) : EndpointAnswer.withoutResponse(ExchangeResult.MISMATCHED, found);
         }
 
         private EndpointAnswer toAnswer(Result result) {
@@ -160,7 +174,7 @@
                         ExchangeResult.MISMATCHED, "a refusal that names no execution may be an earlier one");
             }
             String type = result.getResponse().getHeaders().get(HttpHeader.CONTENT_TYPE);
-            CallBody body = new CallBody(type == null ? "" : type, getContent());
+            CallBody body = content.toBody(type == null ? "" : type);
             return new EndpointAnswer(
                     rejected ? ExchangeResult.REJECTED : ExchangeResult.ANSWERED, status, List.of(), body, "", null);
         }
--- a/node/src/test/java/org/anvillatch/node/call/CallCancellationTest.java
+++ b/node/src/test/java/org/anvillatch/node/call/CallCancellationTest.java
@@ -49,7 +49,7 @@
     private final GatekeeperService gatekeeper = new GatekeeperService(
             loop,
             state,
-            new EndpointClient(threads.pool(), threads.scheduler()),
+            new EndpointClient(threads.pool(), threads.scheduler(), MemoryBudget.ofMaxHeap()),
             decisions,
             metrics,
             CrashSignal.CONNECTION_REFUSED);
--- a/node/src/test/java/org/anvillatch/node/endpoint/BrokenResponseTest.java
+++ b/node/src/test/java/org/anvillatch/node/endpoint/BrokenResponseTest.java
@@ -1,10 +1,12 @@
 package org.anvillatch.node.endpoint;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
+import com.codahale.metrics.MetricRegistry;
 import org.anvillatch.decision.model.OperationName;
 import org.anvillatch.decision.rejection.CallProgress;
 import org.anvillatch.node.NodeThreads;
@@ -14,6 +16,7 @@
 import org.anvillatch.node.call.DispatchMessage;
 import org.anvillatch.node.endpoint.EndpointTransport.EndpointAnswer;
 import org.anvillatch.node.endpoint.EndpointTransport.ExchangeResult;
+import org.anvillatch.node.memory.MemoryBudget;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -38,8 +41,13 @@
     /** Bytes after which a part that should be refused ends, so that a client that keeps them can be told. */
     private static final long LONG_PART_BYTES = 64 * 1024 * 1024;
 
+    private static final int ACCOUNT_BYTES = 4 * 1024 * 1024;
+    private static final int LARGE_BYTES = 300_000;
+    private static final int CONCURRENT_RESPONSES = 16;
+
     private final NodeThreads threads = new NodeThreads();
-    private final EndpointClient client = new EndpointClient(threads.pool(), threads.scheduler());
+    private final MemoryBudget budget = new MemoryBudget(ACCOUNT_BYTES, ACCOUNT_BYTES / 4);
+    private final EndpointClient client = new EndpointClient(threads.pool(), threads.scheduler(), budget);
     private RawHttpServer server;
 
     /** Parts of a response that have no declared length. */
@@ -231,4 +239,44 @@
             assertThat(connection.writeUntilClosed("x", LONG_PART_BYTES)).isTrue();
         }
     }
+
+    /** Guards against a process that runs out of memory because many responses are read at the same time. */
+    @Test
+    void responsesTogetherStayWithinTheAccount() throws Exception {
+        MetricRegistry metrics = new MetricRegistry();
+        budget.register(metrics);
+        List<CompletableFuture<EndpointAnswer>> answers = new ArrayList<>();
+        List<RawHttpServer.Connection> connections = new ArrayList<>();
+        for (int index = 0; index < CONCURRENT_RESPONSES; index++) {
+            answers.add(send(REMAINING_MICROS));
+            connections.add(acceptRequest());
+        }
+        for (RawHttpServer.Connection connection : connections) {
+            connection.write(HEAD + "\r\n");
+            CompletableFuture.runAsync(() -> connection.writeUntilClosed("x", LONG_PART_BYTES));
+        }
+        for (CompletableFuture<EndpointAnswer> answer : answers) {
+            assertThat(result(answer)).isEqualTo(ExchangeResult.BROKEN);
+        }
+        Object peakBytes = metrics.getGauges().get("memory.peak_bytes").getValue();
+        assertThat((Long) peakBytes).isAtMost(ACCOUNT_BYTES);
+        assertThat(budget.reservedBytes()).isEqualTo(0);
+        for (RawHttpServer.Connection connection : connections) {
+            connection.close();
+        }
+    }
+
+    /** Guards against memory that stays reserved after a large response was used. */
+    @Test
+    void memoryOfALargeResponseIsReleasedWithItsBody() throws Exception {
+        CompletableFuture<EndpointAnswer> answer = send(REMAINING_MICROS);
+        try (RawHttpServer.Connection connection = acceptRequest()) {
+            connection.write(HEAD + "Content-Length: " + LARGE_BYTES + "\r\n\r\n" + "x".repeat(LARGE_BYTES));
+            CallBody body = answer.get(MAX_WAIT_SECONDS, TimeUnit.SECONDS).body();
+            assertThat(body.content()).hasLength(LARGE_BYTES);
+            assertThat(budget.reservedBytes()).isAtLeast(LARGE_BYTES);
+            body.release();
+            assertThat(budget.reservedBytes()).isEqualTo(0);
+        }
+    }
 }
--- a/node/src/test/java/org/anvillatch/node/endpoint/EndpointClientTest.java
+++ b/node/src/test/java/org/anvillatch/node/endpoint/EndpointClientTest.java
@@ -18,6 +18,7 @@
 import org.anvillatch.node.call.DispatchMessage;
 import org.anvillatch.node.endpoint.EndpointTransport.EndpointAnswer;
 import org.anvillatch.node.endpoint.EndpointTransport.ExchangeResult;
+import org.anvillatch.node.memory.MemoryBudget;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Tag;
@@ -33,7 +34,8 @@
     private static final String EXECUTION = "desk-1~7~1";
 
     private final NodeThreads threads = new NodeThreads();
-    private final EndpointClient client = new EndpointClient(threads.pool(), threads.scheduler());
+    private final EndpointClient client =
+            new EndpointClient(threads.pool(), threads.scheduler(), MemoryBudget.ofMaxHeap());
     private ServerSocket server;
 
     @BeforeEach
--- a/node/src/test/java/org/anvillatch/node/endpoint/ResetDuringUploadTest.java
+++ b/node/src/test/java/org/anvillatch/node/endpoint/ResetDuringUploadTest.java
@@ -23,6 +23,7 @@
 import org.anvillatch.node.call.DispatchMessage;
 import org.anvillatch.node.endpoint.EndpointTransport.EndpointAnswer;
 import org.anvillatch.node.endpoint.EndpointTransport.ExchangeResult;
+import org.anvillatch.node.memory.MemoryBudget;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.util.Callback;
@@ -53,7 +54,8 @@
 
     private final NodeThreads threads = new NodeThreads();
     private final HeldReadConnector connector = new HeldReadConnector();
-    private final EndpointClient client = new EndpointClient(connector, threads.pool(), threads.scheduler());
+    private final EndpointClient client =
+            new EndpointClient(connector, threads.pool(), threads.scheduler(), MemoryBudget.ofMaxHeap());
     private ServerSocket server;
 
     /** Reads nothing until a write has failed; then it lets the connection read before the failure is reported. */
