Do not take a response that the node breaks off for a crash

Cause: a response that was too long, or did not fit into the account, was reported like a lost connection. On the own interface that is taken for a crash: the endpoint gets no work until its next heartbeat, and the request becomes a suspect, although the node broke the response off.

Change: EndpointClient reports such a response as MISMATCHED, as the platform's client does.

--- a/node/src/main/java/org/anvillatch/node/endpoint/EndpointClient.java
+++ b/node/src/main/java/org/anvillatch/node/endpoint/EndpointClient.java
@@ -114,7 +114,7 @@
         private final AnswerListener listener;
         private final AccountedContent content;
 
-        /** Why the response was aborted when its head was read, or null. */
+        /** Why this client has broken off the response, or null. */
         private volatile String problem;
 
         private ResponseListener(String executionName, AnswerListener listener, AccountedContent content) {
@@ -126,9 +126,8 @@
         @Override
         public void onHeaders(Response response) {
             String found = findProblem(response);
-            problem = found;
             if (found != null) {
-                response.abort(new IllegalStateException(found));
+                abort(response, found);
             }
         }
 
@@ -136,10 +135,16 @@
         public void onContent(Response response, ByteBuffer bytes) {
             String refusal = content.add(bytes);
             if (refusal != null) {
-                response.abort(new IOException(refusal));
+                abort(response, refusal);
             }
         }
 
+        /** Breaks off a response for a reason that does not suggest that the endpoint has crashed. */
+        private void abort(Response response, String reason) {
+            problem = reason;
+            response.abort(new IOException(reason));
+        }
+
         /** Returns why the response must not be forwarded, or null. */
         private String findProblem(Response response) {
             String responseExecution = response.getHeaders().get(CallHeaders.CONTEXT);
